Serve tasks end to end in one process

Cause: the repository is empty. Change: entries, platform and upstream stand-ins, operators' verbs and the demo, thin but whole.

--- /dev/null
+++ b/caller/check.go
@@ -0,0 +1,101 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"almondcove/entry"
+	"almondcove/problem"
+	"almondcove/task"
+)
+
+// unreadyRetry is when a caller may come back to an entry without configuration.
+const unreadyRetry = 2 * time.Second
+
+// check turns a request into a call, or says why it is refused.
+func (h *handler) check(in *submission) (entry.Call, error) {
+	cfg := h.backend.Settings()
+	if cfg.Head.Rev == 0 {
+		return entry.Call{}, problem.New(http.StatusServiceUnavailable, "unready", "the entry has no configuration yet").
+			Run(problem.No).Retry(unreadyRetry)
+	}
+	queue, ok := cfg.Queues[in.Queue]
+	if !ok {
+		return entry.Call{}, problem.New(http.StatusNotFound, "unknown queue", "there is no queue "+strconv.Quote(in.Queue)).Run(problem.No)
+	}
+	call := entry.Call{Queue: in.Queue, Body: in.RawBody, Type: in.Type, Accept: in.Accept, Idempotency: in.Idempotency}
+	var err error
+	if call.Wait, err = waitOf(in.Deadline); err != nil {
+		return call, err
+	}
+	if in.Authorization == "" && queue.Open {
+		call.Team = queue.Owner
+		return call, nil
+	}
+	text, ok := strings.CutPrefix(in.Authorization, "Bearer ")
+	if ok {
+		call.Key, call.Team, ok = cfg.Authenticate(text)
+	}
+	if !ok {
+		return call, problem.New(http.StatusUnauthorized, "no valid key", "expected Authorization: Bearer KEY with a key that is not withdrawn").Run(problem.No)
+	}
+	if !queue.Allows(call.Team) {
+		return call, problem.New(http.StatusForbidden, "another team's queue", "queue "+strconv.Quote(in.Queue)+" is not open to team "+strconv.Quote(call.Team)).Run(problem.No)
+	}
+	return call, nil
+}
+
+func waitOf(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		return 0, problem.New(http.StatusBadRequest, "bad deadline", "expected Task-Deadline to be a positive duration such as 2s, got "+strconv.Quote(text)).Run(problem.No)
+	}
+	return d, nil
+}
+
+// refusal returns the problem document of an outcome that is not an answer.
+func refusal(id task.ID, outcome task.Outcome) *problem.Problem {
+	var p *problem.Problem
+	switch out := outcome.(type) {
+	case task.Answered:
+		return nil
+	case task.NotRun:
+		p = problem.New(notRunStatus(out.Reason), string(out.Reason), out.Reason.Text()).Run(problem.No).Retry(out.Retry)
+	case task.Failed:
+		p = failure(out)
+	case task.Unknown:
+		p = problem.New(http.StatusGatewayTimeout, "unknown", "the task was sent to "+out.VM+" and its answer is lost; it has certainly ended by "+out.Until.UTC().Format(time.RFC3339)).Run(problem.Unknown)
+	}
+	p.Task = string(id)
+	return p
+}
+
+func failure(out task.Failed) *problem.Problem {
+	detail := "the task was stopped on " + out.VM + " before its end"
+	if out.Status != 0 {
+		detail = "the task failed on " + out.VM + " with status " + strconv.Itoa(out.Status)
+	}
+	if out.Barren {
+		detail += "; it failed on several VMs and is taken as one that can never run"
+	}
+	return problem.New(http.StatusBadGateway, "failed", detail).Run(problem.Yes)
+}
+
+func notRunStatus(r task.Reason) int {
+	switch r {
+	case task.Full:
+		return http.StatusTooManyRequests
+	case task.Absent:
+		return http.StatusNotFound
+	case task.Revoked:
+		return http.StatusUnauthorized
+	case task.Claimed:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/command/output.go
@@ -0,0 +1,130 @@
+package command
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"almondcove/entry"
+	"almondcove/operator"
+	"almondcove/timeline"
+)
+
+// The values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func checkOutput(output string) error {
+	if output != outputText && output != outputJSON {
+		return &usageError{text: "--output is text or json"}
+	}
+	return nil
+}
+
+// print prints v as JSON, or calls text.
+func (c *call) print(v any, text func()) {
+	if c.output == outputJSON {
+		c.shell.printf("%s\n", jsonOf(v))
+		return
+	}
+	text()
+}
+
+func jsonOf(v any) string {
+	text, err := json.Marshal(v)
+	if err != nil {
+		// What is printed came from JSON or holds plain values.
+		panic(err)
+	}
+	return string(text)
+}
+
+func sorted[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
+func printResult(sh *shell, r operator.Result) {
+	if r.Key != "" {
+		sh.printf("key %s\nid %s\n", r.Key, r.ID)
+	}
+	switch {
+	case !r.Recorded.Recorded:
+		sh.printf("not recorded yet: the platform does not answer, and the record follows when it does\n")
+	case r.Changed:
+		sh.printf("recorded as revision %d\n", r.Rev)
+	default:
+		sh.printf("no change: so already in revision %d\n", r.Rev)
+	}
+	sh.printf("in force on %d of %d entries", r.Force.On, r.Force.Of)
+	if len(r.Force.Missing) > 0 {
+		sh.printf(", missing: %s", strings.Join(r.Force.Missing, ", "))
+	}
+	sh.printf("\n")
+}
+
+func printStatus(sh *shell, s entry.Status) {
+	sh.printf("entry %s in %s, leader %s, revision %d, preset %s, seats %d\n", s.Entry, s.Centre, orNone(s.Leader), s.Rev, s.Preset, len(s.Seats))
+	for _, r := range s.Pending {
+		sh.printf("not recorded yet: %s %s\n", r.Kind, r.Name)
+	}
+	w := tabwriter.NewWriter(sh.out, 0, 0, 2, ' ', 0)
+	tab := &shell{out: w}
+	tab.printf("\nCENTRE\tSTATE\n")
+	for _, name := range sorted(s.Centres) {
+		tab.printf("%s\t%s\n", name, s.Centres[name])
+	}
+	tab.printf("\nENTRY\tCENTRE\tSTATE\tREV\tSEATS\n")
+	for _, e := range s.Entries {
+		tab.printf("%s\t%s\t%s\t%d\t%d\n", e.Name, e.Centre, e.State, e.Rev, len(e.Seats))
+	}
+	tab.printf("\nTEAM\tSHARE\tLIMIT\tUSABLE HERE\tRUNNING HERE\n")
+	for _, name := range sorted(s.Teams) {
+		t := s.Teams[name]
+		tab.printf("%s\t%d\t%d\t%d\t%d\n", name, t.Share, t.Limit, t.Usable, t.Running)
+	}
+	tab.printf("\nVM\tCENTRE\tPOOL\tSTATE\tTAKES TASKS\tRUNNING HERE\n")
+	for _, name := range sorted(s.VMs) {
+		v := s.VMs[name]
+		pool := v.Pool
+		if v.To != "" {
+			pool += " to " + v.To
+		}
+		tab.printf("%s\t%s\t%s\t%s\t%t\t%d\n", name, v.Centre, pool, v.State, v.Serves && !v.Aside, v.Running)
+	}
+	// As for all output: a reader that has gone away needs none.
+	_ = w.Flush()
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+func printTimeline(sh *shell, t operator.Timeline) {
+	for _, e := range t.Events {
+		sh.printf("%s  %-8s  %-10s%s\n", e.Time.UTC().Format(time.RFC3339Nano), e.Source, e.Kind, details(e))
+	}
+	if len(t.Missing) > 0 {
+		sh.printf("no answer from: %s\n", strings.Join(t.Missing, ", "))
+	}
+}
+
+func details(e timeline.Event) string {
+	var out strings.Builder
+	for _, pair := range [][2]string{{"task", e.Task}, {"vm", e.VM}, {"team", e.Team}, {"key", e.Key}} {
+		if pair[1] != "" {
+			out.WriteString("  " + pair[0] + "=" + pair[1])
+		}
+	}
+	if e.Note != "" {
+		out.WriteString("  " + e.Note)
+	}
+	return out.String()
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,226 @@
+package command
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"almondcove/demo"
+	"almondcove/entry"
+	"almondcove/node"
+	"almondcove/peer"
+	"almondcove/platform"
+	"almondcove/settings"
+	"almondcove/standin"
+)
+
+// demoDrain bounds the shutdown of the demo.
+const demoDrain = 10 * time.Second
+
+// Unreadable reports a file that can't be read.
+type Unreadable struct {
+	File  string
+	Cause error
+}
+
+func (e *Unreadable) Error() string { return "command: can't read " + e.File + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Unreadable) Unwrap() error { return e.Cause }
+
+func readFile(name string) ([]byte, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, &Unreadable{File: name, Cause: err}
+	}
+	return data, nil
+}
+
+func addServe(p *flaggy.Parser) (*flaggy.Subcommand, runner) {
+	sub := flaggy.NewSubcommand("serve")
+	sub.Description = "run one entry"
+	var file string
+	sub.String(&file, "s", "settings", "file of settings, JSON with comments")
+	p.AttachSubcommand(sub, 1)
+	return sub, func(ctx context.Context, sh *shell) error { return serve(ctx, sh, file) }
+}
+
+// serve runs one entry until it is interrupted. A second interrupt cuts the
+// shutdown short.
+func serve(ctx context.Context, sh *shell, file string) error {
+	data, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	s, err := settings.ReadEntry(data)
+	if err != nil {
+		return err
+	}
+	log := newLog(sh.err, s.Name, s.Level)
+	n, err := node.Start(node.Config{
+		Entry: entry.Config{
+			Self:     peer.Member{Name: s.Name, Centre: s.Centre, Address: s.Peers},
+			Seeds:    s.Seeds,
+			Platform: s.Platform,
+			Prefix:   s.Prefix,
+			Silence:  time.Duration(s.Silence),
+			Log:      log,
+		},
+		Callers:   s.Callers,
+		Operators: s.Operators,
+		Token:     s.Token,
+		MaxBody:   s.Body,
+		Linger:    time.Duration(s.Linger),
+	})
+	if err != nil {
+		return err
+	}
+	log.Info("serving", "callers", n.Callers(), "operators", n.Operators(), "peers", s.Peers)
+	<-sh.interrupts
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.Drain))
+	defer cancel()
+	go func() {
+		<-sh.interrupts
+		cancel()
+	}()
+	return n.Stop(ctx)
+}
+
+func addCheck(p *flaggy.Parser) (*flaggy.Subcommand, runner) {
+	sub := flaggy.NewSubcommand("check")
+	sub.Description = "check a file of settings: of an entry, or with --kind of stand-ins or of a fleet"
+	var file string
+	kind := "entry"
+	sub.AddPositionalValue(&file, "file", 1, true, "the file")
+	sub.String(&kind, "k", "kind", "entry, standin or fleet")
+	p.AttachSubcommand(sub, 1)
+	return sub, func(_ context.Context, sh *shell) error { return check(sh, file, kind) }
+}
+
+func check(sh *shell, file, kind string) error {
+	data, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case "entry":
+		_, err = settings.ReadEntry(data)
+	case "standin":
+		_, err = settings.ReadStandin(data)
+	case "fleet":
+		_, err = settings.ReadDocument(data)
+	default:
+		return &usageError{text: "--kind is entry, standin or fleet"}
+	}
+	if err == nil {
+		sh.printf("%s is in order\n", file)
+	}
+	return err
+}
+
+func addStandin(p *flaggy.Parser) (*flaggy.Subcommand, runner) {
+	sub := flaggy.NewSubcommand("standin")
+	sub.Description = "run stand-ins of the platform and of upstreams, for tests"
+	var file string
+	sub.String(&file, "s", "settings", "file of settings, JSON with comments")
+	p.AttachSubcommand(sub, 1)
+	return sub, func(ctx context.Context, sh *shell) error { return runStandin(ctx, sh, file) }
+}
+
+func runStandin(ctx context.Context, sh *shell, file string) error {
+	data, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	s, err := settings.ReadStandin(data)
+	if err != nil {
+		return err
+	}
+	log := newLog(sh.err, "standin", "info")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if s.Listen.IsValid() {
+		r, err := standin.Serve(s.Listen, standin.NewPlatform())
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		log.Info("platform", "listen", r.Address)
+	}
+	var registering sync.WaitGroup
+	defer registering.Wait()
+	defer cancel()
+	client := platform.New(platform.Config{URLs: []string{s.Platform}})
+	for _, u := range s.Upstreams {
+		r, err := standin.Serve(u.Listen, standin.NewUpstream(standin.UpstreamConfig{
+			VM: u.VM, Centre: u.Centre, Slots: u.Slots, Runs: u.Runs,
+		}))
+		if err != nil {
+			return err
+		}
+		defer r.Close()
+		log.Info("upstream", "vm", u.VM, "listen", r.Address)
+		registering.Go(func() {
+			standin.Register(ctx, client, s.Prefix, peer.VM{
+				Name: u.VM, Centre: u.Centre, Address: netip.AddrPort(u.Listen), Slots: u.Slots, Rack: u.Rack, State: peer.Live,
+			})
+		})
+	}
+	<-sh.interrupts
+	return nil
+}
+
+func addDemo(p *flaggy.Parser) (*flaggy.Subcommand, runner) {
+	sub := flaggy.NewSubcommand("demo")
+	sub.Description = "run a small fleet in one process on loopback"
+	output := outputText
+	level := "warn"
+	sub.String(&output, "o", "output", "text or json")
+	sub.String(&level, "l", "level", "level of the log: debug, info, warn or error")
+	p.AttachSubcommand(sub, 1)
+	return sub, func(ctx context.Context, sh *shell) error { return runDemo(ctx, sh, output, level) }
+}
+
+func runDemo(ctx context.Context, sh *shell, output, level string) error {
+	if err := checkOutput(output); err != nil {
+		return err
+	}
+	d, err := demo.Start(ctx, demo.Config{Log: newLog(sh.err, "demo", level)})
+	if err != nil {
+		return err
+	}
+	if output == outputJSON {
+		sh.printf("%s\n", d.Access.JSON())
+	} else {
+		printAccess(sh, d.Access)
+	}
+	<-sh.interrupts
+	ctx, cancel := context.WithTimeout(ctx, demoDrain)
+	defer cancel()
+	go func() {
+		<-sh.interrupts
+		cancel()
+	}()
+	d.Stop(ctx)
+	return nil
+}
+
+// printAccess prints the addresses, and commands to paste.
+func printAccess(sh *shell, a demo.Access) {
+	for i, url := range a.Callers {
+		sh.printf("entry %d     callers %s   operators %s\n", i+1, url, a.Operators[i])
+	}
+	for i, url := range a.Upstreams {
+		sh.printf("upstream %d  %s\n", i+1, url)
+	}
+	sh.printf("platform    %s\n\n", a.Platform)
+	sh.printf("run a task:\n  curl -sS -H 'Authorization: Bearer %s' -d 'one pint' %s/queues/%s/tasks\n", a.Key, a.Callers[0], a.Queue)
+	sh.printf("operate:\n  export ALMONDCOVE_URL=%s ALMONDCOVE_TOKEN=%s\n", a.Operators[0], a.Token)
+	sh.printf("  go run . status\n  go run . preset use peak --wait\n  go run . centre out east --wait\n")
+	sh.printf("make a fault:\n  curl -sS -X PUT -d '{\"kind\": \"down\", \"for\": \"10s\"}' %s/faults\n", a.Platform)
+	sh.printf("interrupt to end\n")
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	Address netip.AddrPort
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return "entry: listen on " + e.Address.String() + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Rewound reports a platform whose configuration is older than the entry's.
+type Rewound struct {
+	Held     uint64
+	Platform uint64
+}
+
+func (e *Rewound) Error() string {
+	return fmt.Sprintf("entry: the platform has lost history: it holds revision %d and the entries hold %d; "+
+		"nothing was changed; \"almondcove config restore\" writes the entries' configuration back", e.Platform, e.Held)
+}
+
+// Forked reports a platform that holds another configuration under the same revision.
+type Forked struct {
+	Rev uint64
+}
+
+func (e *Forked) Error() string {
+	return fmt.Sprintf("entry: the platform holds another configuration under revision %d; nothing was changed; "+
+		"\"almondcove config restore\" writes the entries' configuration over it", e.Rev)
+}
+
+// NotRecorded reports a change that certainly did not take effect.
+type NotRecorded struct {
+	Cause error
+}
+
+func (e *NotRecorded) Error() string {
+	return "entry: not recorded, nothing was changed: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NotRecorded) Unwrap() error { return e.Cause }
+
+// Doubtful reports a change that may or may not have taken effect.
+type Doubtful struct {
+	Cause error
+}
+
+func (e *Doubtful) Error() string {
+	return "entry: the platform's answer is lost, the change may take effect: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Doubtful) Unwrap() error { return e.Cause }
+
+// Unready reports an entry that holds no configuration yet.
+type Unready struct{}
+
+func (e *Unready) Error() string { return "entry: no configuration yet" }
--- /dev/null
+++ b/entry/seats.go
@@ -0,0 +1,343 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"almondcove/dispatch"
+	"almondcove/fleet"
+	"almondcove/limit"
+	"almondcove/peer"
+	"almondcove/platform"
+	"almondcove/timeline"
+)
+
+// The times of seats.
+const (
+	seatPause = 500 * time.Millisecond
+	// seatPauseMost bounds the time between looks at a roll that can't be
+	// improved now.
+	seatPauseMost = 15 * time.Second
+	// settleTime is how long an entry looks for others before its first claim.
+	settleTime = 1500 * time.Millisecond
+)
+
+// seats holds the entry's seats in its data centre's part of the upper limits.
+type seats struct {
+	entry *Entry
+	mu    sync.Mutex
+	own   []int
+	// giving are seats on their way back, which are no longer used.
+	giving []int
+	// seq is the highest position of the roll that was seen.
+	seq uint64
+}
+
+// held returns the seats that the entry answers for, in use or not.
+func (s *seats) held() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Concat(s.own, s.giving)
+}
+
+// usable returns the seats whose units may be used.
+func (s *seats) usable() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.own)
+}
+
+func (s *seats) key() string {
+	return s.entry.config.Prefix + "seat/" + s.entry.config.Self.Centre
+}
+
+// run claims and gives up seats until ctx ends.
+func (s *seats) run(ctx context.Context) {
+	wait := settleTime
+	idle := seatPause
+	for {
+		if !sleep(ctx, wait) {
+			return
+		}
+		wait = seatPause
+		if s.entry.Leaving() {
+			continue
+		}
+		if s.step(ctx) {
+			idle = seatPause
+			continue
+		}
+		// Nothing could be improved: look less often.
+		idle = min(2*idle, seatPauseMost)
+		wait = idle
+	}
+}
+
+// step does what is due and reports whether the seats are as they should be or
+// changed towards it.
+func (s *seats) step(ctx context.Context) bool {
+	live, announced := s.census()
+	least, most := limit.Fair(len(live) + 1)
+	own := s.held()
+	if s.isGiving() {
+		return s.give(ctx)
+	}
+	poor := slices.ContainsFunc(live, func(p peer.Peer) bool { return len(p.Seats) < least })
+	if len(own) > most && poor {
+		s.withdraw(len(own) - most)
+		return s.give(ctx)
+	}
+	if announced < limit.Seats {
+		return s.claim(ctx, most-len(own))
+	}
+	return true
+}
+
+// census returns the live entries of the data centre and how many seats they
+// and the entry announce.
+func (s *seats) census() (live []peer.Peer, announced int) {
+	now := time.Now()
+	announced = len(s.held())
+	for _, p := range s.entry.mesh.Peers() {
+		if p.From.Centre == s.entry.config.Self.Centre && p.Live(now) {
+			live = append(live, p)
+			announced += len(p.Seats)
+		}
+	}
+	return live, announced
+}
+
+// claim takes up to want vacant seats. With want of zero it still takes what
+// nobody else may take soon: the seats of the dead.
+func (s *seats) claim(ctx context.Context, want int) bool {
+	kv, roll, err := s.read(ctx)
+	if err != nil {
+		return false
+	}
+	s.meet(roll)
+	free := s.freeSeats()
+	me := limit.Holder{
+		Run:     s.entry.config.Self.Run,
+		Name:    s.entry.config.Self.Name,
+		Address: s.entry.config.Self.Address.String(),
+	}
+	next, taken := roll.Claim(me, max(want, 0), free)
+	if len(taken) == 0 {
+		return false
+	}
+	if !s.write(ctx, kv, next) {
+		return true
+	}
+	s.mu.Lock()
+	s.own = append(s.own, taken...)
+	slices.Sort(s.own)
+	s.mu.Unlock()
+	s.changed("claim", taken)
+	return true
+}
+
+// meet makes the mesh look at the holders of the roll, which may be long dead.
+func (s *seats) meet(roll limit.Roll) {
+	var members []peer.Member
+	for _, h := range roll.Seats {
+		if a, err := netip.ParseAddrPort(h.Address); err == nil && a != s.entry.config.Self.Address {
+			members = append(members, peer.Member{Name: h.Name, Centre: s.entry.config.Self.Centre, Address: a, Run: h.Run})
+		}
+	}
+	s.entry.mesh.Learn(members)
+}
+
+// freeSeats returns the test for a seat that may be claimed: it is vacant, or
+// its holder is proved dead and all that it lent or started has ended; and no
+// entry says that it holds it.
+func (s *seats) freeSeats() func(int, limit.Holder) bool {
+	taken := make(map[int]bool)
+	ended := s.entry.graves()
+	for _, p := range s.entry.mesh.Peers() {
+		if p.From.Centre != s.entry.config.Self.Centre || !p.Dead.IsZero() {
+			continue
+		}
+		delete(ended, p.From.Run)
+		for _, seat := range p.Seats {
+			taken[seat] = true
+		}
+	}
+	self := s.entry.config.Self
+	wait := loanTerm + s.entry.keeper.now().MaxLease() + 2*limit.Margin
+	now := time.Now()
+	return func(seat int, by limit.Holder) bool {
+		if taken[seat] {
+			return false
+		}
+		if by.Run == "" {
+			return true
+		}
+		at, dead := ended[by.Run]
+		if by.Address == self.Address.String() {
+			// The holder listened where this entry listens now.
+			at, dead = s.entry.started, true
+		}
+		return dead && now.Sub(at) > wait
+	}
+}
+
+// withdraw stops using n seats, which are then given back.
+func (s *seats) withdraw(n int) {
+	s.mu.Lock()
+	n = min(n, len(s.own))
+	s.giving = append(s.giving, s.own[len(s.own)-n:]...)
+	s.own = s.own[:len(s.own)-n]
+	s.mu.Unlock()
+	s.entry.configure()
+}
+
+func (s *seats) isGiving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.giving) > 0
+}
+
+// give vacates the seats on their way back, once what was lent and started
+// under them fits into the others.
+func (s *seats) give(ctx context.Context) bool {
+	if !s.settled() {
+		return true
+	}
+	kv, roll, err := s.read(ctx)
+	if err != nil {
+		return false
+	}
+	s.mu.Lock()
+	giving := slices.Clone(s.giving)
+	s.mu.Unlock()
+	run := s.entry.config.Self.Run
+	next := roll.Vacate(run, giving)
+	if !s.write(ctx, kv, next) {
+		return true
+	}
+	s.mu.Lock()
+	s.giving = nil
+	s.mu.Unlock()
+	s.changed("vacate", giving)
+	return true
+}
+
+// settled reports whether every team fits into the seats in use.
+func (s *seats) settled() bool {
+	cfg := s.entry.keeper.now()
+	centres := cfg.CentreNames()
+	usable := s.usable()
+	ok := true
+	s.entry.work.read(func(core *dispatch.Core, now time.Time) {
+		for name, t := range cfg.Teams {
+			own := limit.Part(t.Limit, centres, s.entry.config.Self.Centre, usable)
+			ok = ok && core.Book().Settled(name, own, now)
+		}
+	})
+	return ok
+}
+
+// read returns the roll. One that is older than what was seen, or that says
+// the entry holds seats it doesn't know, is not used.
+func (s *seats) read(ctx context.Context) (platform.KV, limit.Roll, error) {
+	kv, err := s.entry.platform.Get(ctx, s.key())
+	if err != nil {
+		return kv, limit.Roll{}, err
+	}
+	var roll limit.Roll
+	if kv.Mod > 0 {
+		if err := json.Unmarshal(kv.Value, &roll); err != nil {
+			return kv, roll, &fleet.Unreadable{Key: s.key(), Reason: err.Error()}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if roll.Seq < s.seq {
+		s.entry.metrics.raise("seats", true)
+		return kv, roll, &Rewound{Held: s.seq, Platform: roll.Seq}
+	}
+	s.entry.metrics.raise("seats", false)
+	s.seq = roll.Seq
+	return kv, roll, nil
+}
+
+// write stores the roll if it is still as it was read. After a lost answer the
+// record itself says whether the write took effect.
+func (s *seats) write(ctx context.Context, kv platform.KV, next limit.Roll) bool {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return false
+	}
+	done, err := s.entry.platform.Commit(ctx, platform.TxnRequest{
+		Compare: []platform.Compare{platform.Unchanged(kv)},
+		Success: []platform.Op{platform.Put(s.key(), value)},
+	})
+	if err == nil {
+		return done.Succeeded
+	}
+	if _, ok := errors.Into[*platform.Uncertain](err); !ok {
+		return false
+	}
+	for range 20 {
+		now, err := s.entry.platform.Get(ctx, s.key())
+		if err == nil {
+			return s.tookEffect(now, next)
+		}
+		if !sleep(ctx, seatPause) {
+			break
+		}
+	}
+	return false
+}
+
+// tookEffect reports whether the roll in the platform follows from next as far
+// as the entry's own seats go.
+func (s *seats) tookEffect(kv platform.KV, next limit.Roll) bool {
+	var roll limit.Roll
+	if kv.Mod == 0 || json.Unmarshal(kv.Value, &roll) != nil || roll.Seq < next.Seq {
+		return false
+	}
+	run := s.entry.config.Self.Run
+	return slices.Equal(roll.Held(run), next.Held(run))
+}
+
+// changed puts a change of the seats in force.
+func (s *seats) changed(kind string, which []int) {
+	s.entry.configure()
+	words := make([]string, 0, len(which))
+	for _, n := range which {
+		words = append(words, itoa(uint64(n)))
+	}
+	s.entry.note(timeline.Event{Kind: kind, Note: "seats " + strings.Join(words, " ")})
+	s.entry.mesh.Kick()
+}
+
+// release gives all seats back, until ctx ends.
+func (s *seats) release(ctx context.Context) {
+	s.withdraw(limit.Seats)
+	for s.isGiving() {
+		s.give(ctx)
+		if s.isGiving() && !sleep(ctx, seatPause/5) {
+			return
+		}
+	}
+}
+
+// sleep waits for d and reports whether ctx still runs.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,220 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"almondcove/dispatch"
+	"almondcove/fleet"
+	"almondcove/peer"
+	"almondcove/timeline"
+)
+
+// forcePause is the time between looks at who is behind.
+const forcePause = 100 * time.Millisecond
+
+// Force says on how many entries something is in force.
+type Force struct {
+	// On of Of entries have it in force. Entries that are proved dead don't count.
+	On int `json:"on"`
+	Of int `json:"of"`
+	// Missing names the others.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Everywhere reports whether no entry is missing.
+func (f Force) Everywhere() bool { return f.On == f.Of }
+
+// Force asks all entries whether a revision and a restriction, if not nil, are
+// in force there. It returns when they are in force everywhere or ctx ends.
+func (e *Entry) Force(ctx context.Context, rev uint64, r *fleet.Restriction) Force {
+	for {
+		f := e.force(ctx, rev, r)
+		if f.Everywhere() || !sleep(ctx, forcePause) {
+			return f
+		}
+	}
+}
+
+func (e *Entry) force(ctx context.Context, rev uint64, r *fleet.Restriction) Force {
+	// The question itself must be answered even when ctx ends with it.
+	states := e.mesh.Survey(context.WithoutCancel(ctx))
+	out := Force{On: 1, Of: 1}
+	for _, p := range e.mesh.Peers() {
+		if !p.Dead.IsZero() || p.Leaving {
+			continue
+		}
+		out.Of++
+		s, ok := states[p.From.Name]
+		if ok && s.Rev >= rev && restricts(s, r, rev) {
+			out.On++
+			continue
+		}
+		out.Missing = append(out.Missing, p.From.Name)
+	}
+	return out
+}
+
+// restricts reports whether a state shows the restriction, as such or recorded
+// in a later revision.
+func restricts(s peer.State, r *fleet.Restriction, rev uint64) bool {
+	if r == nil || s.Rev > rev {
+		return true
+	}
+	return slices.ContainsFunc(s.Restrictions, func(other fleet.Restriction) bool {
+		return other.Kind == r.Kind && other.Name == r.Name
+	})
+}
+
+// Status is what one entry knows.
+type Status struct {
+	Entry  string `json:"entry"`
+	Centre string `json:"centre"`
+	// Leader is the entry that leads the data centre, if one is known.
+	Leader string `json:"leader,omitempty"`
+	Rev    uint64 `json:"rev"`
+	Preset string `json:"preset"`
+	Seats  []int  `json:"seats"`
+	// Pending restrictions are in force and not recorded yet.
+	Pending []fleet.Restriction   `json:"pending,omitempty"`
+	Entries []EntryStatus         `json:"entries"`
+	Teams   map[string]TeamStatus `json:"teams"`
+	Queues  map[string]int        `json:"queues"`
+	Centres map[string]string     `json:"centres"`
+	VMs     map[string]VMStatus   `json:"vms"`
+}
+
+// EntryStatus is what is known of another entry.
+type EntryStatus struct {
+	Name   string        `json:"name"`
+	Centre string        `json:"centre"`
+	State  string        `json:"state" enum:"live,silent,leaving,dead"`
+	Rev    uint64        `json:"rev"`
+	Seats  []int         `json:"seats"`
+	Leader bool          `json:"leader,omitempty"`
+	Seen   time.Duration `json:"seen" doc:"nanoseconds since the entry was last heard"`
+}
+
+// TeamStatus is a team's use of its limit at this entry.
+type TeamStatus struct {
+	Share   int `json:"share"`
+	Limit   int `json:"limit"`
+	Running int `json:"running"`
+	// Usable is how many tasks the entry may run now.
+	Usable int `json:"usable"`
+}
+
+// VMStatus is what configuration and platform say of a VM.
+type VMStatus struct {
+	Centre string `json:"centre"`
+	Pool   string `json:"pool"`
+	To     string `json:"to,omitempty"`
+	State  string `json:"state" enum:"live,leaving,gone,unlisted"`
+	Serves bool   `json:"serves"`
+	// Running is the number of this entry's tasks on the VM.
+	Running int  `json:"running"`
+	Aside   bool `json:"aside,omitempty"`
+}
+
+// Status returns what the entry knows.
+func (e *Entry) Status() Status {
+	cfg := e.keeper.now()
+	s := Status{
+		Entry:   e.config.Self.Name,
+		Centre:  e.config.Self.Centre,
+		Rev:     cfg.Head.Rev,
+		Preset:  cfg.Head.Preset,
+		Seats:   e.seats.held(),
+		Pending: e.keeper.pending(),
+		Entries: e.entryStatus(),
+		Teams:   make(map[string]TeamStatus),
+		Centres: make(map[string]string),
+		VMs:     make(map[string]VMStatus),
+	}
+	if e.leader.leads() {
+		s.Leader = e.config.Self.Name
+	}
+	for _, p := range s.Entries {
+		if p.Leader && p.Centre == s.Centre && p.State == "live" && s.Leader == "" {
+			s.Leader = p.Name
+		}
+	}
+	for name, c := range cfg.Centres {
+		s.Centres[name] = "in"
+		if c.Out {
+			s.Centres[name] = "out"
+		}
+	}
+	e.work.read(func(core *dispatch.Core, now time.Time) {
+		s.Queues = core.Depths()
+		for name, t := range cfg.Teams {
+			s.Teams[name] = TeamStatus{
+				Share: cfg.Share(name), Limit: t.Limit,
+				Running: core.Book().Running(name, now), Usable: core.Book().Allowance(name, now),
+			}
+		}
+		for name, v := range cfg.VMs {
+			s.VMs[name] = VMStatus{
+				Centre: v.Centre, Pool: v.Pool, To: v.To, State: "unlisted",
+				Serves: core.Table().Serves(name), Running: core.Table().Own(name), Aside: core.Table().Aside(name),
+			}
+		}
+	})
+	for _, v := range e.list.all() {
+		if vs, ok := s.VMs[v.Name]; ok {
+			vs.State = string(v.State)
+			s.VMs[v.Name] = vs
+		}
+	}
+	return s
+}
+
+func (e *Entry) entryStatus() []EntryStatus {
+	now := time.Now()
+	out := []EntryStatus{}
+	for _, p := range e.mesh.Peers() {
+		s := EntryStatus{Name: p.From.Name, Centre: p.From.Centre, State: "silent", Rev: p.Rev, Seats: p.Seats, Leader: p.Leader}
+		if !p.Seen.IsZero() {
+			s.Seen = now.Sub(p.Seen)
+		}
+		switch {
+		case !p.Dead.IsZero():
+			s.State = "dead"
+		case p.Leaving:
+			s.State = "leaving"
+		case p.Live(now):
+			s.State = "live"
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// Timeline merges the time lines of all entries and returns the names of those
+// that did not answer.
+func (e *Entry) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, []string) {
+	lines, missing := e.mesh.Events(ctx, f)
+	return timeline.Merge(append(lines, e.line.Events(f))...), missing
+}
+
+// Remove declares an entry that can't be reached to have ended, so that its
+// seats may be claimed. It is for operators who know that its VM is gone.
+func (e *Entry) Remove(name string) error {
+	for _, p := range e.mesh.Peers() {
+		if p.From.Name != name {
+			continue
+		}
+		if p.Live(time.Now()) {
+			return &fleet.Conflict{Path: "entry/" + name, Reason: "the entry answers, so it has not ended"}
+		}
+		p.Dead = time.Now()
+		e.died(p)
+		e.mesh.Forget(name)
+		return nil
+	}
+	return &fleet.Missing{Kind: "entry", Name: name}
+}
+
+// Stamp returns a stamp later than that of every restriction seen.
+func (e *Entry) Stamp() timeline.Stamp { return e.line.Clock().Now() }
--- /dev/null
+++ b/operator/verbs.go
@@ -0,0 +1,204 @@
+package operator
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strings"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"almondcove/entry"
+	"almondcove/fleet"
+	"almondcove/timeline"
+)
+
+// keyIDLength is the length of a key's public id.
+const keyIDLength = 8
+
+// Timeline is the answer to GET /timeline.
+type Timeline struct {
+	Events []timeline.Event `json:"events"`
+	// Missing names the entries that did not answer.
+	Missing []string `json:"missing,omitempty"`
+}
+
+type none struct{}
+
+func (h *handler) registerViews(api huma.API) {
+	type statusOutput struct{ Body entry.Status }
+	register(api, http.MethodGet, "/status", "status", "What this entry knows",
+		func(context.Context, *none) (*statusOutput, error) {
+			return &statusOutput{Body: h.backend.Status()}, nil
+		})
+	type filter struct {
+		Task string `query:"task"`
+		VM   string `query:"vm"`
+		Team string `query:"team"`
+		Key  string `query:"key"`
+		Kind string `query:"kind"`
+	}
+	type timelineOutput struct{ Body Timeline }
+	register(api, http.MethodGet, "/timeline", "timeline", "The merged events of all entries",
+		func(ctx context.Context, in *filter) (*timelineOutput, error) {
+			events, missing := h.backend.Timeline(ctx, timeline.Filter(*in))
+			return &timelineOutput{Body: Timeline{Events: events, Missing: missing}}, nil
+		})
+}
+
+func (h *handler) registerConfig(api huma.API) {
+	type document struct{ Body fleet.Document }
+	type load struct {
+		Waiting
+		Body fleet.Document
+	}
+	register(api, http.MethodGet, "/config", "get-config", "The configuration without its keys",
+		func(context.Context, *none) (*document, error) {
+			return &document{Body: h.backend.Settings().Document()}, nil
+		})
+	register(api, http.MethodPut, "/config", "load-config", "Replace the configuration except its keys",
+		func(ctx context.Context, in *load) (*output, error) {
+			return h.change(ctx, fleet.Load{Config: in.Body.Config()}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/config/restore", "restore-config", "Write the held configuration into a platform that lost it",
+		func(ctx context.Context, in *Waiting) (*output, error) {
+			done, err := h.backend.Restore(ctx)
+			if err != nil {
+				return nil, refusal(err)
+			}
+			return h.result(ctx, done, nil, *in)
+		})
+	type named struct {
+		Waiting
+		Name string `path:"name"`
+	}
+	type setPreset struct {
+		named
+		Body fleet.Preset
+	}
+	register(api, http.MethodPut, "/presets/{name}", "set-preset", "Create or replace a preset",
+		func(ctx context.Context, in *setPreset) (*output, error) {
+			return h.change(ctx, fleet.PresetSet{Name: in.Name, Preset: in.Body}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/presets/{name}/use", "use-preset", "Put a preset in force",
+		func(ctx context.Context, in *named) (*output, error) {
+			return h.change(ctx, fleet.PresetUse{Name: in.Name}, in.Waiting)
+		})
+	type setTeam struct {
+		named
+		Body fleet.Team
+	}
+	register(api, http.MethodPut, "/teams/{name}", "set-team", "Create or replace a team",
+		func(ctx context.Context, in *setTeam) (*output, error) {
+			return h.change(ctx, fleet.TeamSet{Name: in.Name, Team: in.Body}, in.Waiting)
+		})
+	type setQueue struct {
+		named
+		Body fleet.Queue
+	}
+	register(api, http.MethodPut, "/queues/{name}", "set-queue", "Create or replace a queue",
+		func(ctx context.Context, in *setQueue) (*output, error) {
+			return h.change(ctx, fleet.QueueSet{Name: in.Name, Queue: in.Body}, in.Waiting)
+		})
+	type setPool struct {
+		named
+		Body fleet.Pool
+	}
+	register(api, http.MethodPut, "/pools/{name}", "set-pool", "Create or replace a pool",
+		func(ctx context.Context, in *setPool) (*output, error) {
+			return h.change(ctx, fleet.PoolSet{Name: in.Name, Pool: in.Body}, in.Waiting)
+		})
+}
+
+func (h *handler) registerKeys(api huma.API) {
+	type grant struct {
+		Waiting
+		Body struct {
+			Team string `json:"team" doc:"the team that the key belongs to"`
+		}
+	}
+	register(api, http.MethodPost, "/keys", "grant-key", "Grant a key; its text is shown only here",
+		func(ctx context.Context, in *grant) (*output, error) {
+			id, secret := strings.ToLower(rand.Text()[:keyIDLength]), rand.Text()
+			key := fleet.Key{Team: in.Body.Team, Hash: fleet.HashSecret(secret)}
+			out, err := h.change(ctx, fleet.KeyGrant{ID: id, Key: key}, in.Waiting)
+			if err == nil {
+				out.Body.ID, out.Body.Key = id, fleet.JoinKey(id, secret)
+			}
+			return out, err
+		})
+	type withdraw struct {
+		Waiting
+		ID string `path:"id" doc:"the id of the key: its text up to the dot"`
+	}
+	register(api, http.MethodDelete, "/keys/{id}", "withdraw-key", "End a key for ever",
+		func(ctx context.Context, in *withdraw) (*output, error) {
+			// Operators may paste the whole key.
+			id, _, _ := strings.Cut(in.ID, ".")
+			return h.restrict(ctx, fleet.Restriction{Kind: fleet.RestrictKey, Name: id}, in.Waiting)
+		})
+	type keysOutput struct {
+		Body map[string]KeyView
+	}
+	register(api, http.MethodGet, "/keys", "list-keys", "The ids of all keys",
+		func(context.Context, *none) (*keysOutput, error) {
+			out := &keysOutput{Body: make(map[string]KeyView)}
+			for id, k := range h.backend.Settings().Keys {
+				out.Body[id] = KeyView{Team: k.Team, Gone: k.Gone}
+			}
+			return out, nil
+		})
+}
+
+// KeyView is what is shown of a key after its grant.
+type KeyView struct {
+	Team string `json:"team"`
+	Gone bool   `json:"gone"`
+}
+
+func (h *handler) registerFleet(api huma.API) {
+	type named struct {
+		Waiting
+		Name string `path:"name"`
+	}
+	type move struct {
+		named
+		Body struct {
+			Pool string `json:"pool" doc:"the pool that the VM goes to"`
+		}
+	}
+	register(api, http.MethodPost, "/vms/{name}/move", "move-vm", "Move a VM to another pool",
+		func(ctx context.Context, in *move) (*output, error) {
+			return h.change(ctx, fleet.VMMove{Name: in.Name, Pool: in.Body.Pool}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/vms/{name}/leave", "leave-vm", "Stop new tasks on a VM",
+		func(ctx context.Context, in *named) (*output, error) {
+			return h.restrict(ctx, fleet.Restriction{Kind: fleet.RestrictVM, Name: in.Name}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/vms/{name}/return", "return-vm", "Let a VM take tasks again",
+		func(ctx context.Context, in *named) (*output, error) {
+			return h.change(ctx, fleet.VMReturn{Name: in.Name, Stamp: h.backend.Stamp()}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/centres/{name}/out", "centre-out", "Stop new tasks in a data centre",
+		func(ctx context.Context, in *named) (*output, error) {
+			return h.restrict(ctx, fleet.Restriction{Kind: fleet.RestrictCentre, Name: in.Name}, in.Waiting)
+		})
+	register(api, http.MethodPost, "/centres/{name}/back", "centre-back", "Let a data centre take tasks again",
+		func(ctx context.Context, in *named) (*output, error) {
+			return h.change(ctx, fleet.CentreBack{Name: in.Name, Stamp: h.backend.Stamp()}, in.Waiting)
+		})
+	type removeOutput struct {
+		Body struct {
+			Removed string `json:"removed"`
+		}
+	}
+	register(api, http.MethodDelete, "/entries/{name}", "remove-entry", "Declare an entry that can't be reached to have ended",
+		func(_ context.Context, in *named) (*removeOutput, error) {
+			if err := h.backend.Remove(in.Name); err != nil {
+				return nil, refusal(err)
+			}
+			out := &removeOutput{}
+			out.Body.Removed = in.Name
+			return out, nil
+		})
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"encoding/json"
+	"net/netip"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"almondcove/fleet"
+	"almondcove/peer/wire"
+)
+
+func sizeOf(m proto.Message) int {
+	return proto.Size(m)
+}
+
+// state returns the own state as it is sent.
+func (m *Mesh) state() *wire.State {
+	s := m.host.State()
+	return &wire.State{
+		From:   encodeMember(m.config.Self),
+		Rev:    s.Rev,
+		Stamp:  m.config.Clock.Now(),
+		Seats:  lo.Map(s.Seats, func(n, _ int) uint32 { return uint32(n) }),
+		Leader: s.Leader, Leaving: s.Leaving,
+		Restrictions: lo.Map(s.Restrictions, func(r fleet.Restriction, _ int) *wire.Restriction {
+			return &wire.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
+		}),
+		List: encodePosition(s.List),
+	}
+}
+
+func (m *Mesh) decodeState(s *wire.State) State {
+	m.config.Clock.Observe(s.GetStamp())
+	return State{
+		From:   decodeMember(s.GetFrom()),
+		Rev:    s.GetRev(),
+		Seats:  lo.Map(s.GetSeats(), func(n uint32, _ int) int { return int(n) }),
+		Leader: s.GetLeader(), Leaving: s.GetLeaving(),
+		Restrictions: lo.Map(s.GetRestrictions(), func(r *wire.Restriction, _ int) fleet.Restriction {
+			return fleet.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
+		}),
+		List: decodePosition(s.GetList()),
+	}
+}
+
+func encodeMember(m Member) *wire.Member {
+	return &wire.Member{Name: m.Name, Centre: m.Centre, Address: m.Address.String(), Run: m.Run}
+}
+
+func decodeMember(m *wire.Member) Member {
+	// A member without a usable address can't be called and is never chosen.
+	address, _ := netip.ParseAddrPort(m.GetAddress())
+	return Member{Name: m.GetName(), Centre: m.GetCentre(), Address: address, Run: m.GetRun()}
+}
+
+func encodeMembers(ms []Member) []*wire.Member {
+	return lo.Map(ms, func(m Member, _ int) *wire.Member { return encodeMember(m) })
+}
+
+func decodeMembers(ms []*wire.Member) []Member {
+	return lo.Map(ms, func(m *wire.Member, _ int) Member { return decodeMember(m) })
+}
+
+func encodeRecords(rs []fleet.Record) []*wire.Record {
+	return lo.Map(rs, func(r fleet.Record, _ int) *wire.Record {
+		return &wire.Record{Key: r.Key, Rev: r.Rev, Body: r.Body}
+	})
+}
+
+func decodeRecords(rs []*wire.Record) []fleet.Record {
+	return lo.Map(rs, func(r *wire.Record, _ int) fleet.Record {
+		out := fleet.Record{Key: r.Key, Rev: r.Rev}
+		if len(r.Body) > 0 {
+			out.Body = json.RawMessage(r.Body)
+		}
+		return out
+	})
+}
+
+// Ask is a request for units, or a grant of them, by the loan's id.
+type Ask struct {
+	ID    string
+	Team  string
+	Units int
+}
+
+func encodeAsks(as []Ask) []*wire.Ask {
+	return lo.Map(as, func(a Ask, _ int) *wire.Ask {
+		return &wire.Ask{Id: a.ID, Team: a.Team, Units: uint32(max(a.Units, 0))}
+	})
+}
+
+func decodeAsks(as []*wire.Ask) []Ask {
+	return lo.Map(as, func(a *wire.Ask, _ int) Ask {
+		return Ask{ID: a.Id, Team: a.Team, Units: int(a.Units)}
+	})
+}
+
+// Position says how far a reader has read one leader's list of VMs.
+type Position struct {
+	Run string
+	Seq uint64
+}
+
+func encodePosition(p Position) *wire.Position {
+	return &wire.Position{Run: p.Run, Seq: p.Seq}
+}
+
+func decodePosition(p *wire.Position) Position {
+	return Position{Run: p.GetRun(), Seq: p.GetSeq()}
+}
+
+// List is a list of VMs, or what changed in it.
+type List struct {
+	Position
+	// Whole is true when VMs is the whole list.
+	Whole bool
+	VMs   []VM
+}
+
+// VM is one entry of the platform's list.
+type VM struct {
+	Name    string         `json:"-"`
+	Centre  string         `json:"centre"`
+	Address netip.AddrPort `json:"address"`
+	Slots   int            `json:"slots"`
+	Rack    string         `json:"rack,omitempty"`
+	State   VMState        `json:"state"`
+}
+
+// VMState is what the platform's list says of a VM.
+type VMState string
+
+// The states of a VM.
+const (
+	Live    VMState = "live"
+	Leaving VMState = "leaving"
+	// Gone marks a VM that the list shows no more.
+	Gone VMState = "gone"
+)
+
+func encodeList(reply *wire.PullReply, l List) {
+	reply.List = encodePosition(l.Position)
+	reply.Whole = l.Whole
+	reply.Vms = lo.Map(l.VMs, func(v VM, _ int) *wire.VM {
+		return &wire.VM{
+			Name: v.Name, Centre: v.Centre, Address: v.Address.String(),
+			Slots: uint32(v.Slots), Rack: v.Rack, State: string(v.State),
+		}
+	})
+}
+
+func decodeList(reply *wire.PullReply) List {
+	return List{
+		Position: decodePosition(reply.List),
+		Whole:    reply.Whole,
+		VMs: lo.Map(reply.Vms, func(v *wire.VM, _ int) VM {
+			address, _ := netip.ParseAddrPort(v.Address)
+			return VM{
+				Name: v.Name, Centre: v.Centre, Address: address,
+				Slots: int(v.Slots), Rack: v.Rack, State: VMState(v.State),
+			}
+		}),
+	}
+}
--- /dev/null
+++ b/peer/link.go
@@ -0,0 +1,33 @@
+package peer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// linked reports whether self is one of the entries among own that keep a link
+// to the entry far, by rendezvous hashing.
+func linked(own []string, self, far string) bool {
+	if len(own) <= links {
+		return true
+	}
+	type ranked struct {
+		name string
+		hash uint64
+	}
+	ranks := make([]ranked, 0, len(own))
+	for _, name := range own {
+		h := fnv.New64a()
+		// Writing to a hash never fails.
+		_, _ = h.Write([]byte(name + "\x00" + far))
+		ranks = append(ranks, ranked{name, h.Sum64()})
+	}
+	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	for _, r := range ranks[:links] {
+		if r.name == self {
+			return true
+		}
+	}
+	return false
+}
