Suspect silent VMs and probe them without tasks

Cause: a VM that answers nothing kept taking tasks until its slots were full; each held a unit of its team's limit until the lease lapsed. Change: a question without a sign makes the VM suspect at once; a suspect VM gets no task until it answers GET /usage. Questions start after four mean run times instead of half a second.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -315,6 +315,14 @@
 	return &http.Client{Transport: &http.Transport{DialContext: n.DialContext, DisableKeepAlives: true}}
 }
 
+// Clear ends all faults of the stand-ins.
+func (d *Demo) Clear() {
+	d.Platform.Clear()
+	for _, u := range d.Upstreams {
+		u.Clear()
+	}
+}
+
 // Stop ends the demo; the entries shut down gracefully until ctx ends.
 func (d *Demo) Stop(ctx context.Context) {
 	var all sync.WaitGroup
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -29,7 +29,7 @@
 		defer func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 			defer cancel()
-			d.Platform.Clear()
+			d.Clear()
 			d.Stop(ctx)
 		}()
 		f(g, d, net)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -209,6 +209,22 @@
 	}
 }
 
+// Suspect stops new tasks on a VM that gives no sign of itself.
+func (c *Core) Suspect(vm string) {
+	c.table.Suspect(vm)
+}
+
+// Clear lets a VM that gave a sign of itself take tasks again.
+func (c *Core) Clear(vm string) {
+	c.table.Clear(vm)
+	c.wakeAll()
+}
+
+// Cost returns the mean run time of a queue's tasks.
+func (c *Core) Cost(queue string) time.Duration {
+	return time.Duration(c.costOf(queue) * float64(time.Second))
+}
+
 // Admit puts a task into its queue, or says why it is refused.
 func (c *Core) Admit(t *Task, now time.Time) *task.NotRun {
 	q, ok := c.config.Queues[t.Queue]
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,7 +58,8 @@
 	Listener net.Listener
 	// Network reaches peers, platform and upstreams; nil means TCP.
 	Network network.Network
-	// Silence is how long a sent task may go unanswered before it is asked for.
+	// Silence is how long a sent task may go unanswered, at most, before it is
+	// asked for; zero means upstream.DefaultSilence.
 	Silence time.Duration
 	Log     hclog.Logger
 }
@@ -94,6 +95,9 @@
 	if c.Prefix == "" {
 		c.Prefix = DefaultPrefix
 	}
+	if c.Silence <= 0 {
+		c.Silence = upstream.DefaultSilence
+	}
 	if c.Log == nil {
 		c.Log = hclog.NewNullLogger()
 	}
@@ -185,6 +189,7 @@
 	e.done.Go(func() { e.seats.run(ctx) })
 	e.done.Go(func() { e.claims.run(ctx) })
 	e.done.Go(func() { e.lend(ctx) })
+	e.done.Go(func() { e.probe(ctx) })
 	e.done.Go(func() { e.record(ctx) })
 	e.done.Go(func() { e.work.run(ctx) })
 	e.note(timeline.Event{Kind: "start", Note: "run " + e.config.Self.Run})
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -22,6 +22,10 @@
 	// patience is how long an idempotent task waits for any sign from its VM
 	// before it is tried elsewhere.
 	patience = 2 * time.Second
+	// silenceFactor is how many mean run times a task may go unanswered before
+	// it is asked for, and silenceLeast the least such time.
+	silenceFactor = 4
+	silenceLeast  = 50 * time.Millisecond
 	// stopTimeout bounds the attempt to stop a task whose caller went away.
 	stopTimeout = 2 * time.Second
 )
@@ -147,7 +151,7 @@
 			return outcome
 		}
 	}
-	req := j.request(time.Now())
+	req := j.request(time.Now(), vm)
 	lapse := req.NotAfter.Add(req.Lease + limit.Margin)
 	j.entry.line.Add(timeline.Event{Kind: "send", Task: string(j.task.ID), VM: vm, Team: j.task.Team})
 	res := upstream.Result{Proof: task.Unsent, Load: -1}
@@ -166,7 +170,7 @@
 	return j.finish(ctx, vm, res, end)
 }
 
-func (j *journey) request(now time.Time) upstream.Request {
+func (j *journey) request(now time.Time, vm string) upstream.Request {
 	notAfter := now.Add(startBound)
 	if j.task.Deadline.Before(notAfter) {
 		notAfter = j.task.Deadline
@@ -180,7 +184,11 @@
 		Accept:   j.call.Accept,
 		NotAfter: notAfter,
 		Lease:    time.Duration(j.queue.Lease),
+		Silent:   func() { j.entry.suspect(vm) },
 	}
+	j.entry.work.read(func(core *dispatch.Core, _ time.Time) {
+		req.Silence = min(max(silenceFactor*core.Cost(j.task.Queue), silenceLeast), j.entry.config.Silence)
+	})
 	if j.queue.Idempotent {
 		req.Patience = patience
 	}
--- a/route/candidates.go
+++ b/route/candidates.go
@@ -9,7 +9,7 @@
 
 // candidate reports whether the VM may take one more task.
 func (m *vm) candidate() bool {
-	if !m.Serves || !m.until.IsZero() {
+	if !m.Serves || m.suspect || !m.until.IsZero() {
 		return false
 	}
 	if m.aside {
--- a/route/table.go
+++ b/route/table.go
@@ -39,8 +39,6 @@
 	probeMost  = time.Minute
 	// busyPause keeps a VM that refused for want of a slot from the next choice.
 	busyPause = 10 * time.Millisecond
-	// silentPause does the same after a failed connection.
-	silentPause = 250 * time.Millisecond
 )
 
 // Config configures a table.
@@ -115,6 +113,8 @@
 	rate   float64
 	count  int
 	aside  bool
+	// suspect marks a VM that gave no sign of itself; it gets no task until it does.
+	suspect bool
 	// probing marks a task that tests a VM set aside.
 	probing bool
 	backoff time.Duration
@@ -291,8 +291,7 @@
 	case Bad:
 		t.bad(m, probe, now)
 	case Silent:
-		t.bad(m, probe, now)
-		t.pause(m, now.Add(silentPause))
+		m.suspect = true
 	case Busy:
 		t.pause(m, now.Add(busyPause))
 	case Neutral:
@@ -347,6 +346,39 @@
 	}
 }
 
+// Suspect stops new tasks on a VM that gives no sign of itself.
+func (t *Table) Suspect(name string) {
+	if m := t.vms[name]; m != nil {
+		m.suspect = true
+		t.replace(m)
+	}
+}
+
+// Clear lets a suspect VM that gave a sign of itself take tasks again.
+func (t *Table) Clear(name string) {
+	if m := t.vms[name]; m != nil {
+		m.suspect = false
+		t.replace(m)
+	}
+}
+
+// Suspected reports whether the VM gave no sign of itself.
+func (t *Table) Suspected(name string) bool {
+	m := t.vms[name]
+	return m != nil && m.suspect
+}
+
+// Suspects returns the names of the VMs that gave no sign of themselves.
+func (t *Table) Suspects() []string {
+	var out []string
+	for name, m := range t.vms {
+		if m.suspect {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Next returns when the next pause ends, or false when there is none.
 func (t *Table) Next() (time.Time, bool) {
 	if len(t.timed) == 0 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -21,6 +21,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -85,6 +86,11 @@
 	NotAfter time.Time
 	// Lease is the longest run time.
 	Lease time.Duration
+	// Silence replaces the client's own when positive.
+	Silence time.Duration
+	// Silent is called when a question about the task gives no sign of the VM;
+	// nil is allowed.
+	Silent func()
 	// Patience is how long the client goes on without any sign of the task
 	// before it gives up with nothing proved; zero means until ctx ends.
 	Patience time.Duration
@@ -152,7 +158,11 @@
 	defer stop()
 	sent := make(chan Result, 1)
 	go func() { sent <- c.put(sending, vm, r) }()
-	timer := time.NewTimer(c.silence)
+	silence := c.silence
+	if r.Silence > 0 {
+		silence = r.Silence
+	}
+	timer := time.NewTimer(silence)
 	defer timer.Stop()
 	select {
 	case res := <-sent:
@@ -191,6 +201,10 @@
 		case task.Running:
 			last = res
 			sign = time.Now()
+		case task.Nothing, task.Unsent:
+			if r.Silent != nil {
+				r.Silent()
+			}
 		}
 		last.Asked = asked
 		if r.Patience > 0 && time.Since(sign) > r.Patience {
@@ -251,6 +265,25 @@
 	return res
 }
 
+// Usage asks a VM for its usage over a new connection. It reports false when
+// the VM gives no readable answer.
+func (c *Client) Usage(ctx context.Context, vm netip.AddrPort) (Usage, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var out Usage
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.String()+"/usage", http.NoBody)
+	if err != nil {
+		return out, false
+	}
+	res, err := c.fresh.RoundTrip(req)
+	if err != nil {
+		return out, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	err = json.NewDecoder(io.LimitReader(res.Body, MaxAnswer)).Decode(&out)
+	return out, err == nil && res.StatusCode == http.StatusOK
+}
+
 // Boot returns the run of the VM's process that answered last, or "".
 func (c *Client) Boot(vm netip.AddrPort) string {
 	boot, _ := c.boots.Load(vm)
