Decode a head into its own memory

Cause: the race detector showed json.Unmarshal writing into the stamps that a new head shared with the held one, while another goroutine copied them (TestWithdrawnKeyStops/platform_down, -race). Change: the head is decoded into a zero value.

--- a/fleet/record.go
+++ b/fleet/record.go
@@ -54,6 +54,8 @@
 	if head == nil {
 		return nil, &Unreadable{Key: HeadKey, Reason: "the head is missing"}
 	}
+	// Decoding into base's head would write over the stamps that it shares.
+	next.Head = Head{}
 	if err := json.Unmarshal(head.Body, &next.Head); err != nil {
 		return nil, &Unreadable{Key: HeadKey, Reason: err.Error()}
 	}
