Renew the id of a fenced task; share seats among seven entries

Cause: tests hung twice. A task fenced on a VM went to that VM again at once, was refused there as fenced, and so on without a pause (trace of TestUpstreamFaults/silent). With seven entries a data centre, the first four held two seats each and three held none for ever (TestCapacity, second size). One pull runs at a time, members are sent only when they differ, and a change is beaten only to members that lack it.

--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -56,7 +56,9 @@
 	if err != nil {
 		return reply{err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+d.Access.Key)
+	if queue != d.Access.Open {
+		req.Header.Set("Authorization", "Bearer "+d.Access.Key)
+	}
 	for j := 0; j+1 < len(header); j += 2 {
 		req.Header.Set(header[j], header[j+1])
 	}
--- a/demo/upstream_test.go
+++ b/demo/upstream_test.go
@@ -200,3 +200,22 @@
 		g.Expect(r.status).To(gomega.Equal(http.StatusOK))
 	})
 }
+
+// TestFencedTaskRunsOnItsOnlyVM makes the connections of a pool with one VM a
+// data centre go dead under load. Tasks that were fenced there run there later.
+func TestFencedTaskRunsOnItsOnlyVM(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		_, err := change(d, 0, http.MethodPost, "/centres/west/out", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var replies []reply
+		var loading sync.WaitGroup
+		loading.Go(func() { replies = load(d, d.Access.Open, 10*time.Millisecond, 6*time.Second) })
+		for range 5 {
+			time.Sleep(time.Second)
+			// east-3 is the only VM that runs the queue now.
+			d.Upstreams[2].Fault("silent", time.Millisecond)
+		}
+		loading.Wait()
+		g.Expect(count(replies)).To(gomega.Equal(map[int]int{http.StatusOK: 600}))
+	})
+}
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -98,10 +98,8 @@
 	Proof task.Proof
 	// Good is false for a task that ended in a failure of the VM or of itself.
 	Good bool
-	// Leaving marks a VM that refused because it is leaving, Busy one that
-	// refused for want of a slot.
+	// Leaving marks a VM that refused because it is leaving.
 	Leaving bool
-	Busy    bool
 	// Skipped marks a task that was not sent for a reason of the entry's own.
 	Skipped bool
 	// Load is what the VM reported; negative means unknown.
@@ -166,7 +164,7 @@
 		}
 		return route.Bad
 	case task.Refused:
-		if e.Busy {
+		if !e.Leaving {
 			return route.Busy
 		}
 	case task.Unsent, task.Nothing:
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"almondcove/platform"
+	"almondcove/task"
 )
 
 // The bounds of claims.
@@ -28,7 +29,9 @@
 // first has proved that the task did not run there and never will.
 type claim struct {
 	Entry string `json:"entry"`
-	VM    string `json:"vm"`
+	// ID is the task's id on the VM.
+	ID task.ID `json:"id"`
+	VM string  `json:"vm"`
 	// Address and Boot name the run of the VM's process.
 	Address netip.AddrPort `json:"address"`
 	Boot    string         `json:"boot"`
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -34,7 +34,7 @@
 
 // claimName identifies the journey's task among all claims.
 func (j *journey) claimName() string {
-	return j.call.Team + "/" + j.call.Queue + "/" + string(j.task.ID)
+	return j.call.Team + "/" + j.call.Queue + "/" + string(j.id.Base())
 }
 
 // claim binds the idempotency key to the VM before anything is sent to it. It
@@ -43,6 +43,7 @@
 func (j *journey) claim(ctx context.Context, vm string, address netip.AddrPort) (task.Outcome, bool) {
 	mine := claim{
 		Entry:   j.entry.config.Self.Name,
+		ID:      j.id,
 		VM:      vm,
 		Address: address,
 		Boot:    j.entry.upstream.Boot(address),
@@ -69,7 +70,7 @@
 }
 
 func (j *journey) note(kind, vm, note string) {
-	j.entry.line.Add(timeline.Event{Kind: kind, Task: string(j.task.ID), VM: vm, Team: j.task.Team, Note: note})
+	j.entry.line.Add(timeline.Event{Kind: kind, Task: string(j.id), VM: vm, Team: j.task.Team, Note: note})
 }
 
 // unclaimed gives the slot back and refuses the task.
@@ -93,10 +94,11 @@
 	inner, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	res := j.entry.upstream.Run(inner, other.Address, upstream.Request{
-		ID: j.task.ID, Resume: true, Boot: other.Boot, Patience: patience,
+		ID: other.ID, Resume: true, Boot: other.Boot, Patience: patience,
 	})
 	switch res.Proof {
 	case task.Done:
+		j.id = other.ID
 		if res.Answer.Status >= http.StatusInternalServerError {
 			return task.Failed{VM: other.VM, Status: res.Answer.Status}
 		}
@@ -120,6 +122,7 @@
 		return j.notRun(task.NotRun{Reason: task.Deadline, Retry: time.Second})
 	}
 	j.held = at
+	j.id = j.id.Renew(rand.Text()[:renewalLength])
 	return nil
 }
 
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -90,12 +90,16 @@
 		return s.give(ctx)
 	}
 	poor := slices.ContainsFunc(live, func(p peer.Peer) bool { return len(p.Seats) < least })
-	if len(own) > most && poor {
-		s.withdraw(len(own) - most)
+	if len(own) > least && poor {
+		s.withdraw(len(own) - least)
 		return s.give(ctx)
 	}
 	if announced < limit.Seats {
-		return s.claim(ctx, most-len(own))
+		target := most
+		if poor {
+			target = least
+		}
+		return s.claim(ctx, target-len(own))
 	}
 	return true
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -78,7 +78,7 @@
 	Seats  []int  `json:"seats"`
 	// Pending restrictions are in force and not recorded yet.
 	Pending []fleet.Restriction   `json:"pending,omitempty"`
-	Entries []MemberStatus         `json:"entries"`
+	Entries []MemberStatus        `json:"entries"`
 	Teams   map[string]TeamStatus `json:"teams"`
 	Queues  map[string]int        `json:"queues"`
 	Centres map[string]string     `json:"centres"`
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"net/netip"
 	"time"
@@ -26,6 +27,8 @@
 	// it is asked for, and silenceLeast the least such time.
 	silenceFactor = 4
 	silenceLeast  = 50 * time.Millisecond
+	// renewalLength is the length of the part that makes an id new.
+	renewalLength = 6
 	// stopTimeout bounds the attempt to stop a task whose caller went away.
 	stopTimeout = 2 * time.Second
 )
@@ -65,6 +68,7 @@
 	j := &journey{
 		entry:  e,
 		call:   c,
+		id:     c.ID,
 		queue:  queue,
 		ready:  make(chan string, 1),
 		refuse: make(chan task.NotRun, 1),
@@ -82,13 +86,14 @@
 	outcome := j.run(ctx)
 	j.unclaim(outcome)
 	e.metrics.finished(c.Queue, outcome, time.Since(begun))
-	return c.ID, outcome
+	return j.id, outcome
 }
 
 // journey is one task on its way through the entry.
 type journey struct {
 	entry  *Entry
 	call   Call
+	id     task.ID
 	queue  fleet.Queue
 	task   *dispatch.Task
 	ready  chan string
@@ -153,7 +158,7 @@
 	}
 	req := j.request(time.Now(), vm)
 	lapse := req.NotAfter.Add(req.Lease + limit.Margin)
-	j.entry.line.Add(timeline.Event{Kind: "send", Task: string(j.task.ID), VM: vm, Team: j.task.Team})
+	j.entry.line.Add(timeline.Event{Kind: "send", Task: string(j.id), VM: vm, Team: j.task.Team})
 	res := upstream.Result{Proof: task.Unsent, Load: -1}
 	if ok {
 		res = j.converse(ctx, address, req, lapse)
@@ -162,11 +167,10 @@
 		Proof:   res.Proof,
 		Good:    res.Answer.Status < http.StatusInternalServerError,
 		Leaving: res.Why == upstream.WhyLeaving,
-		Busy:    res.Why == upstream.WhyBusy,
 		Load:    res.Load,
 		Lapse:   lapse,
 	}
-	j.entry.line.Add(timeline.Event{Kind: "end", Task: string(j.task.ID), VM: vm, Team: j.task.Team, Note: end.Proof.String()})
+	j.entry.line.Add(timeline.Event{Kind: "end", Task: string(j.id), VM: vm, Team: j.task.Team, Note: end.Proof.String()})
 	return j.finish(ctx, vm, res, end)
 }
 
@@ -176,7 +180,7 @@
 		notAfter = j.task.Deadline
 	}
 	req := upstream.Request{
-		ID:       j.task.ID,
+		ID:       j.id,
 		Team:     j.task.Team,
 		Queue:    j.task.Queue,
 		Body:     j.call.Body,
@@ -215,6 +219,10 @@
 
 // finish takes note of a try's end and decides what comes next.
 func (j *journey) finish(ctx context.Context, vm string, res upstream.Result, end dispatch.End) task.Outcome {
+	if res.Why == upstream.WhyFenced {
+		// The VM never runs the task under this id, but may under another.
+		j.id = j.id.Renew(rand.Text()[:renewalLength])
+	}
 	again := false
 	var shown task.Outcome
 	j.entry.work.do(func(core *dispatch.Core, now time.Time) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -159,6 +159,8 @@
 
 // follow pulls from a member that holds something newer.
 func (m *Mesh) follow(ctx context.Context, c *client, theirs State) {
+	m.pulling.Lock()
+	defer m.pulling.Unlock()
 	own := m.host.State()
 	if theirs.Rev <= own.Rev && !m.wantsList(own, theirs) {
 		return
@@ -166,7 +168,7 @@
 	var reply *wire.PullReply
 	err := c.call(ctx, func(ctx context.Context, stub wire.PeerClient) error {
 		var err error
-		reply, err = stub.Pull(ctx, &wire.PullRequest{Since: own.Rev, List: encodePosition(own.List)})
+		reply, err = stub.Pull(ctx, &wire.PullRequest{Since: own.Rev, List: encodePosition(own.List), Members: hashOf(m.members())})
 		return err
 	})
 	if err != nil {
--- a/peer/link.go
+++ b/peer/link.go
@@ -6,6 +6,17 @@
 	"slices"
 )
 
+// hashOf returns a hash of a set of members.
+func hashOf(members []Member) uint64 {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	h := fnv.New64a()
+	for _, m := range members {
+		// Writing to a hash never fails.
+		_, _ = h.Write([]byte(m.Name + "\x00" + m.Run + "\x00"))
+	}
+	return h.Sum64()
+}
+
 // linked reports whether self is one of the entries among own that keep a link
 // to the entry far, by rendezvous hashing.
 func linked(own []string, self, far string) bool {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -133,9 +133,11 @@
 	peers  map[string]*Peer
 	dialed map[netip.AddrPort]*client
 	round  int
-	kick   chan struct{}
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	// pulling lets one pull run at a time, so that the next sees its result.
+	pulling sync.Mutex
+	kick    chan struct{}
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // New returns a running mesh.
@@ -296,8 +298,12 @@
 	addresses := make(map[netip.AddrPort]bool)
 	known := make(map[netip.AddrPort]bool)
 	own := m.ownNames()
+	state := m.host.State()
 	for _, p := range m.peers {
 		known[p.From.Address] = true
+		if all && !behind(p.State, state) {
+			continue
+		}
 		near := p.From.Centre == m.config.Self.Centre
 		if near || far && linked(own, m.config.Self.Name, p.From.Name) {
 			addresses[p.From.Address] = true
@@ -317,6 +323,14 @@
 	return out
 }
 
+// behind reports whether a member, as last heard, lacks something that own has.
+func behind(theirs, own State) bool {
+	return theirs.Rev < own.Rev ||
+		len(theirs.Restrictions) < len(own.Restrictions) ||
+		own.Leader && theirs.List != own.List ||
+		own.Leaving
+}
+
 // ownNames returns the names of the live entries of the own data centre.
 func (m *Mesh) ownNames() []string {
 	names := []string{m.config.Self.Name}
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,7 +37,10 @@
 
 // Pull answers with the records and the part of the list that the caller lacks.
 func (s *server) Pull(_ context.Context, req *wire.PullRequest) (*wire.PullReply, error) {
-	reply := &wire.PullReply{Members: encodeMembers(s.mesh.members())}
+	reply := &wire.PullReply{}
+	if members := s.mesh.members(); hashOf(members) != req.Members {
+		reply.Members = encodeMembers(members)
+	}
 	reply.Records = encodeRecords(s.mesh.host.Records(req.Since))
 	encodeList(reply, s.mesh.host.List(decodePosition(req.List)))
 	s.mesh.config.Sent(sizeOf(reply))
--- a/task/task.go
+++ b/task/task.go
@@ -19,12 +19,28 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 )
 
-// ID identifies one task over the whole fleet.
+// ID identifies one task over the whole fleet. A task that was fenced on one VM
+// goes on under a renewed id.
 type ID string
 
+// renewal separates an id from the part that a renewal added.
+const renewal = "."
+
+// Base returns the id that the task had first.
+func (id ID) Base() ID {
+	base, _, _ := strings.Cut(string(id), renewal)
+	return ID(base)
+}
+
+// Renew returns another id of the same task. The suffix must be new.
+func (id ID) Renew(suffix string) ID {
+	return id.Base() + renewal + ID(suffix)
+}
+
 // Outcome is what became of a task. The implementations are [Answered],
 // [Failed], [NotRun] and [Unknown].
 type Outcome interface{ outcome() }
--- a/timeline/line.go
+++ b/timeline/line.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"almondcove/task"
 )
 
 // DefaultSize is the number of events that a line keeps unless configured.
@@ -37,13 +39,18 @@
 
 // Match reports whether the event passes the filter.
 func (f Filter) Match(e Event) bool {
-	return matches(f.Task, e.Task) &&
+	return matches(base(f.Task), base(e.Task)) &&
 		matches(f.VM, e.VM) &&
 		matches(f.Team, e.Team) &&
 		matches(f.Key, e.Key) &&
 		matches(f.Kind, e.Kind)
 }
 
+// base returns the id that a task had first.
+func base(id string) string {
+	return string(task.ID(id).Base())
+}
+
 func matches(want, got string) bool {
 	return want == "" || want == got
 }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -262,6 +262,9 @@
 		// The task arrived in between and was stopped; its end is proved.
 		res.Proof = task.Ended
 	}
+	if res.Proof == task.Refused {
+		res.Why = WhyFenced
+	}
 	return res
 }
 
