--- a/peer/client.go
+++ b/peer/client.go
@@ -167,8 +167,12 @@
 	}
 	var reply *wire.PullReply
 	err := c.call(ctx, func(ctx context.Context, stub wire.PeerClient) error {
+		req := &wire.PullRequest{Since: own.Rev, Members: hashOf(m.members())}
+		if m.wantsList(own, theirs) {
+			req.List = encodePosition(own.List)
+		}
 		var err error
-		reply, err = stub.Pull(ctx, &wire.PullRequest{Since: own.Rev, List: encodePosition(own.List), Members: hashOf(m.members())})
+		reply, err = stub.Pull(ctx, req)
 		return err
 	})
 	if err != nil {
--- a/peer/server.go
+++ b/peer/server.go
@@ -42,7 +42,9 @@
 		reply.Members = encodeMembers(members)
 	}
 	reply.Records = encodeRecords(s.mesh.host.Records(req.Since))
-	encodeList(reply, s.mesh.host.List(decodePosition(req.List)))
+	if req.List != nil {
+		encodeList(reply, s.mesh.host.List(decodePosition(req.List)))
+	}
 	s.mesh.config.Sent(sizeOf(reply))
 	return reply, nil
 }
