Balance pressed pools over the entries of a data centre

Change: beats within a data centre tell the demand on pools in which tasks wait; each entry fills the slots by class and share over all demands and bounds its own starts by its part. A task's way through the core allocates nothing. Ruled out: slot grants from a home entry are not needed to meet 5 %.

--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,258 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"almondcove/dispatch"
+	"almondcove/fleet"
+	"almondcove/task"
+)
+
+// The site of the benchmarks: one service of a site of today.
+const (
+	siteVMs     = 8
+	siteSlots   = 8
+	siteEntries = 4
+)
+
+var shares = map[string]int{"large": 3, "middle": 2, "small": 1}
+
+// siteConfig has one pool and, for each team, a queue of each class.
+func siteConfig(vms int, most int) *fleet.Config {
+	d := fleet.Document{
+		Preset:  "p",
+		Teams:   make(map[string]fleet.Team),
+		Queues:  make(map[string]fleet.Queue),
+		Pools:   map[string]fleet.Pool{"pool": {Budget: max(vms/8, 1)}},
+		Presets: map[string]fleet.Preset{"p": {}},
+		Centres: map[string]map[string]fleet.VM{"c": {}},
+	}
+	for team, share := range shares {
+		d.Teams[team] = fleet.Team{Share: share, Limit: most}
+		for _, class := range []fleet.Class{fleet.Urgent, fleet.Normal, fleet.Deferrable} {
+			d.Queues[team+"-"+string(class)] = fleet.Queue{
+				Pool: "pool", Class: class, Teams: []string{team}, Depth: fleet.MaxDepth, Idempotent: true,
+				Lease: fleet.Duration(10 * time.Second), Wait: fleet.Duration(time.Minute),
+			}
+		}
+	}
+	for i := range vms {
+		d.Centres["c"][fmt.Sprintf("vm-%d", i)] = fleet.VM{Pool: "pool"}
+	}
+	return d.Config()
+}
+
+// variants are the ways that are measured beside each other in one run.
+var variants = []string{"plain", "own", "balanced"}
+
+// newSite returns a simulated site that one variant runs.
+func newSite(variant string) *sim {
+	s := newSim()
+	for i := range siteVMs {
+		s.vms[fmt.Sprintf("vm-%d", i)] = &fakeVM{slots: siteSlots}
+	}
+	if variant == "plain" {
+		s.plain(siteEntries)
+		return s
+	}
+	s.ours(siteConfig(siteVMs, 10_000), "c", siteEntries, variant == "balanced")
+	return s
+}
+
+// perSecond is the rate of 100 ms tasks that fills the site.
+const perSecond = siteVMs * siteSlots * 10
+
+// distance returns the mean and the worst relative distance from its share of
+// any team over the windows of 10 s after the first.
+func distance(s *sim) (mean, worst float64) {
+	const window = 10
+	n := 0
+	for from := window; from+window <= 60; from += window {
+		total := 0.0
+		got := make(map[string]float64)
+		for team := range shares {
+			for _, v := range s.used[team][from : from+window] {
+				got[team] += v
+				total += v
+			}
+		}
+		for team, share := range shares {
+			want := total * float64(share) / 6
+			d := math.Abs(got[team]-want) / want
+			mean += d
+			worst = max(worst, d)
+			n++
+		}
+	}
+	return mean / float64(n), worst
+}
+
+// BenchmarkShare fills a pool through four entries with skewed arrivals and
+// prints how far each team is from its share.
+func BenchmarkShare(b *testing.B) {
+	for _, variant := range variants {
+		b.Run(variant, func(b *testing.B) {
+			var mean, worst, used float64
+			for b.Loop() {
+				s := newSite(variant)
+				// The large team comes through one entry, the middle one through
+				// two, the small one, which asks for most, through all.
+				s.arrivals(0, "large", "large-normal", 0.8*perSecond, 100*time.Millisecond)
+				s.arrivals(0, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+				s.arrivals(1, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+				for e := range siteEntries {
+					s.arrivals(e, "small", "small-normal", 0.4*perSecond, 100*time.Millisecond)
+				}
+				s.runUntil(61 * time.Second)
+				mean, worst = distance(s)
+				used = 0
+				for _, seconds := range s.used {
+					for _, v := range seconds[10:60] {
+						used += v
+					}
+				}
+				used /= 50 * siteVMs * siteSlots
+			}
+			b.ReportMetric(100*mean, "mean-%")
+			b.ReportMetric(100*worst, "worst-%")
+			b.ReportMetric(100*used, "used-%")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkUrgent floods a pool at five times its mean with deferrable and
+// normal tasks and prints the wait of the urgent ones.
+func BenchmarkUrgent(b *testing.B) {
+	for _, variant := range variants {
+		b.Run(variant, func(b *testing.B) {
+			var p99 time.Duration
+			var later int
+			for b.Loop() {
+				s := newSite(variant)
+				for e := range siteEntries {
+					s.arrivals(e, "large", "large-deferrable", 0.6*perSecond, 100*time.Millisecond)
+					s.arrivals(e, "middle", "middle-normal", 0.15*perSecond, 100*time.Millisecond)
+				}
+				s.arrivals(2, "small", "small-urgent", 0.2*perSecond, 100*time.Millisecond)
+				s.runUntil(30 * time.Second)
+				waits := s.waits["small-urgent"]
+				slices.Sort(waits)
+				p99 = waits[len(waits)*99/100]
+				later = len(s.waits["large-deferrable"])
+			}
+			b.ReportMetric(p99.Seconds()*1000, "p99-ms")
+			b.ReportMetric(float64(later), "deferrable-starts")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkOutlier gives a pool one VM that fails everything at once and
+// prints the part of all tasks that it gets after the first 50 of each entry.
+func BenchmarkOutlier(b *testing.B) {
+	for _, variant := range variants[:2] {
+		b.Run(variant, func(b *testing.B) {
+			var part float64
+			for b.Loop() {
+				s := newSite(variant)
+				s.vms["vm-3"].bad = true
+				total, bad := 0, 0
+				for e := range siteEntries {
+					s.arrivals(e, "large", "large-normal", 0.15*perSecond, 100*time.Millisecond)
+				}
+				s.runUntil(30 * time.Second)
+				total = len(s.waits["large-normal"])
+				bad = total - s.done["large"]
+				part = max(float64(bad-50*siteEntries), 0) / float64(total)
+			}
+			b.ReportMetric(100*part, "bad-%")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkDecision measures one task's way through the core: admit, choose,
+// start and finish.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 2300} {
+		b.Run(fmt.Sprintf("vms=%d/teams=47", n), func(b *testing.B) {
+			cfg := siteConfig(n, 10_000)
+			for i := range 44 {
+				name := fmt.Sprintf("t-%d", i)
+				cfg.Teams[name] = fleet.Team{Share: 1, Limit: 1000}
+				cfg.Queues[name] = fleet.Queue{Pool: "pool", Class: fleet.Normal, Teams: []string{name}, Depth: 100, Lease: fleet.Duration(time.Second)}
+			}
+			core := dispatch.New(dispatch.Config{Centre: "c", Seed: 1})
+			listed := make(map[string]dispatch.Listed)
+			for name := range cfg.VMs {
+				listed[name] = dispatch.Listed{Slots: 8}
+			}
+			core.Configure(cfg, []int{0, 1, 2, 3, 4, 5, 6, 7})
+			core.List(listed)
+			now := time.Unix(1_000_000, 0)
+			// Other teams wait behind their limits' lack of nothing: all run.
+			for i := range 44 {
+				name := fmt.Sprintf("t-%d", i)
+				core.Admit(&dispatch.Task{Team: name, Queue: name, Deadline: now.Add(time.Hour), Ready: func(string) {}, Refuse: func(task.NotRun) {}}, now)
+			}
+			core.Next(now)
+			t := &dispatch.Task{Team: "large", Queue: "large-normal", Deadline: now.Add(time.Hour), Ready: func(string) {}, Refuse: func(task.NotRun) {}}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				core.Admit(t, now)
+				core.Next(now)
+				core.Finish(t, dispatch.End{Proof: task.Done, Good: true, Load: 1}, now)
+			}
+		})
+	}
+}
+
+// TestTargets holds the simulated site to the users' targets.
+func TestTargets(t *testing.T) {
+	t.Run("share", func(t *testing.T) {
+		s := newSite("balanced")
+		s.arrivals(0, "large", "large-normal", 0.8*perSecond, 100*time.Millisecond)
+		s.arrivals(0, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+		s.arrivals(1, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+		for e := range siteEntries {
+			s.arrivals(e, "small", "small-normal", 0.4*perSecond, 100*time.Millisecond)
+		}
+		s.runUntil(61 * time.Second)
+		if _, worst := distance(s); worst > 0.05 {
+			t.Errorf("a team is %.1f %% from its share over 10 s", 100*worst)
+		}
+	})
+	t.Run("urgent", func(t *testing.T) {
+		s := newSite("balanced")
+		for e := range siteEntries {
+			s.arrivals(e, "large", "large-deferrable", 0.6*perSecond, 100*time.Millisecond)
+			s.arrivals(e, "middle", "middle-normal", 0.15*perSecond, 100*time.Millisecond)
+		}
+		s.arrivals(2, "small", "small-urgent", 0.2*perSecond, 100*time.Millisecond)
+		s.runUntil(30 * time.Second)
+		waits := s.waits["small-urgent"]
+		slices.Sort(waits)
+		if p99 := waits[len(waits)*99/100]; p99 > time.Second {
+			t.Errorf("1 %% of urgent tasks wait longer than %v", p99)
+		}
+	})
+	t.Run("outlier", func(t *testing.T) {
+		s := newSite("balanced")
+		s.vms["vm-3"].bad = true
+		for e := range siteEntries {
+			s.arrivals(e, "large", "large-normal", 0.15*perSecond, 100*time.Millisecond)
+		}
+		s.runUntil(30 * time.Second)
+		total := len(s.waits["large-normal"])
+		bad := total - s.done["large"]
+		if bad-50*siteEntries > total/100 {
+			t.Errorf("a VM that fails everything got %d of %d tasks", bad, total)
+		}
+	})
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -18,7 +18,9 @@
 package dispatch
 
 import (
-	"strconv"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondcove/fleet"
@@ -64,8 +66,13 @@
 	listed  map[string]Listed
 	dirty   map[string]bool
 	retries float64
-	// admitted counts the tasks that were admitted.
-	admitted uint64
+	// active counts the entry's running tasks by pool, team and class.
+	active map[string]map[demandKey]int
+	// pressed holds the pools that have more work than slots.
+	pressed map[string]press
+	random  *rand.Rand
+	// tries counts the starts.
+	tries limit.Task
 }
 
 // Task is one request on its way.
@@ -82,24 +89,18 @@
 	Refuse func(task.NotRun)
 
 	pool   string
-	item   *share.Item
+	item   share.Item
 	vm     string
 	start  time.Time
 	failed []string
-	number uint64
-	tries  int
+	// number identifies the present try in the account of limits, since an
+	// earlier try whose end is not proved may still count.
+	number limit.Task
 }
 
 // VM returns the VM that the task was last given to.
 func (t *Task) VM() string { return t.vm }
 
-// entry identifies the present try in the account of limits, since an earlier
-// try whose end is not proved may still count, and two requests may carry the
-// same id.
-func (t *Task) entry() string {
-	return strconv.FormatUint(t.number, 36) + "/" + strconv.Itoa(t.tries)
-}
-
 // Failed returns the VMs on which the task failed.
 func (t *Task) Failed() []string { return t.failed }
 
@@ -122,6 +123,8 @@
 		cost:   make(map[string]float64),
 		listed: make(map[string]Listed),
 		dirty:  make(map[string]bool),
+		active: make(map[string]map[demandKey]int),
+		random: rand.New(rand.NewPCG(c.Seed, 2)),
 	}
 }
 
@@ -167,7 +170,9 @@
 
 // placeAll brings the table in line with configuration and list.
 func (c *Core) placeAll() {
-	for name, v := range c.config.VMs {
+	// In order, so that the same seed chooses the same VMs.
+	for _, name := range slices.Sorted(maps.Keys(c.config.VMs)) {
+		v := c.config.VMs[name]
 		l, known := c.listed[name]
 		if !known {
 			continue
@@ -237,11 +242,9 @@
 	if !now.Before(t.Deadline) {
 		return &task.NotRun{Reason: task.Deadline, Retry: c.drainTime(t.Queue, q)}
 	}
-	c.admitted++
-	t.number = c.admitted
 	t.pool = q.Pool
-	t.item = &share.Item{Team: t.Team, Rank: q.Class.Rank(), Cost: c.costOf(t.Queue), Value: t}
-	c.queue(q.Pool).Push(t.item)
+	t.item = share.Item{Team: t.Team, Rank: q.Class.Rank(), Cost: c.costOf(t.Queue), Value: t}
+	c.queue(q.Pool).Push(&t.item)
 	c.depth[t.Queue]++
 	c.dirty[q.Pool] = true
 	c.retries = min(c.retries+retryEarned, retryMost)
@@ -273,7 +276,7 @@
 
 // Cancel takes a waiting task out and reports whether it was waiting.
 func (c *Core) Cancel(t *Task) bool {
-	if t.item == nil || !c.queue(t.pool).Remove(t.item) {
+	if t.pool == "" || !c.queue(t.pool).Remove(&t.item) {
 		return false
 	}
 	c.depth[t.Queue]--
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -30,7 +30,9 @@
 // drain starts tasks of one pool until no VM or no team is ready.
 func (c *Core) drain(pool string, now time.Time) {
 	q := c.queue(pool)
-	ready := func(team string) bool { return c.book.Free(team, now) > 0 }
+	ready := func(team string, rank int) bool {
+		return c.book.Free(team, now) > 0 && c.within(pool, team, rank)
+	}
 	for q.Len() > 0 && c.table.Ready(pool) {
 		item := q.Next(c.ranks(), ready)
 		if item == nil {
@@ -68,9 +70,11 @@
 		q.PushFront(item)
 		return false
 	}
-	t.tries++
-	c.book.Start(t.Team, t.entry(), now)
+	c.tries++
+	t.number = c.tries
+	c.book.Start(t.Team, t.number, now)
 	c.depth[t.Queue]--
+	c.count(t, 1)
 	t.vm, t.start = vm, now
 	t.Ready(vm)
 	return true
@@ -116,9 +120,9 @@
 	c.table.Finish(t.vm, route.Report{Result: resultOf(t, e), Load: e.Load}, now)
 	switch e.Proof {
 	case task.Nothing, task.Running, task.Unseen:
-		c.book.Lapse(t.Team, t.entry(), e.Lapse)
+		c.book.Lapse(t.Team, t.number, e.Lapse)
 	default:
-		c.book.End(t.Team, t.entry())
+		c.book.End(t.Team, t.number)
 	}
 	if e.Proof == task.Done && e.Good {
 		c.learn(t, now)
@@ -128,6 +132,7 @@
 	if e.Proof == task.Done && !e.Good && !slices.Contains(t.failed, t.vm) {
 		t.failed = append(t.failed, t.vm)
 	}
+	c.count(t, -1)
 	c.dirty[t.pool] = true
 	c.Wake(t.Team)
 }
@@ -186,8 +191,8 @@
 		}
 		c.retries--
 	}
-	t.item = &share.Item{Team: t.Team, Rank: t.item.Rank, Cost: c.costOf(t.Queue), Value: t}
-	c.queue(t.pool).PushFront(t.item)
+	t.item = share.Item{Team: t.Team, Rank: t.item.Rank, Cost: c.costOf(t.Queue), Value: t}
+	c.queue(t.pool).PushFront(&t.item)
 	c.depth[t.Queue]++
 	c.dirty[t.pool] = true
 	return true
@@ -201,13 +206,17 @@
 
 // Wants returns the teams whose tasks wait for their limit although their pool
 // has a free slot.
-func (c *Core) Wants() []Want {
+func (c *Core) Wants(now time.Time) []Want {
 	lack := make(map[string]int)
 	for pool, q := range c.queues {
 		if !c.table.Ready(pool) {
 			continue
 		}
-		q.Parked(func(team string, n int) { lack[team] += n })
+		q.Parked(func(team string, n int) {
+			if c.book.Free(team, now) <= 0 {
+				lack[team] += n
+			}
+		})
 	}
 	out := make([]Want, 0, len(lack))
 	for team, n := range lack {
--- /dev/null
+++ b/entry/balance.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"almondcove/dispatch"
+	"almondcove/peer"
+)
+
+// balance keeps the entry's starts on pressed pools in proportion to those of
+// the data centre's other entries, and tells them its own demands, until ctx ends.
+func (e *Entry) balance(ctx context.Context) {
+	for sleep(ctx, peer.Beat) {
+		others := e.othersDemands()
+		var own []dispatch.Demand
+		e.work.do(func(core *dispatch.Core, _ time.Time) {
+			core.Balance(others)
+			own = core.Demands(dispatch.Named(others))
+		})
+		told := lo.Map(own, func(d dispatch.Demand, _ int) peer.Demand { return peer.Demand(d) })
+		e.demands.Store(&told)
+	}
+}
+
+// othersDemands returns what the live entries of the data centre last told.
+func (e *Entry) othersDemands() []dispatch.Demand {
+	var out []dispatch.Demand
+	now := time.Now()
+	for _, p := range e.mesh.Peers() {
+		if p.From.Centre == e.config.Self.Centre && p.Live(now) {
+			out = append(out, lo.Map(p.Demands, func(d peer.Demand, _ int) dispatch.Demand { return dispatch.Demand(d) })...)
+		}
+	}
+	return out
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -84,8 +85,10 @@
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 	started  time.Time
-	mu       sync.Mutex
-	leaving  bool
+	// demands are what the entry tells the others of its data centre.
+	demands atomic.Pointer[[]peer.Demand]
+	mu      sync.Mutex
+	leaving bool
 	// dead holds the runs of entries that are proved to have ended, and since when.
 	dead map[string]time.Time
 }
@@ -190,6 +193,7 @@
 	e.done.Go(func() { e.claims.run(ctx) })
 	e.done.Go(func() { e.lend(ctx) })
 	e.done.Go(func() { e.probe(ctx) })
+	e.done.Go(func() { e.balance(ctx) })
 	e.done.Go(func() { e.record(ctx) })
 	e.done.Go(func() { e.work.run(ctx) })
 	e.note(timeline.Event{Kind: "start", Note: "run " + e.config.Self.Run})
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,6 +16,10 @@
 
 // State describes the entry.
 func (h *host) State() peer.State {
+	var demands []peer.Demand
+	if told := h.demands.Load(); told != nil {
+		demands = *told
+	}
 	return peer.State{
 		Rev:          h.keeper.held().Head.Rev,
 		Seats:        h.seats.held(),
@@ -23,6 +27,7 @@
 		Leaving:      h.entry().Leaving(),
 		Restrictions: h.keeper.pending(),
 		List:         h.list.at(),
+		Demands:      demands,
 	}
 }
 
--- a/entry/lend.go
+++ b/entry/lend.go
@@ -36,9 +36,9 @@
 // borrow asks other entries for what waiting tasks lack, the nearest first.
 func (e *Entry) borrow(ctx context.Context) {
 	var wants []dispatch.Want
-	e.work.read(func(core *dispatch.Core, _ time.Time) {
+	e.work.read(func(core *dispatch.Core, now time.Time) {
 		if core.Waiting() > 0 {
-			wants = core.Wants()
+			wants = core.Wants(now)
 		}
 	})
 	if len(wants) == 0 {
--- a/limit/book.go
+++ b/limit/book.go
@@ -15,6 +15,9 @@
 	Task time.Duration
 }
 
+// Task numbers one try of one task at this entry.
+type Task uint64
+
 // Book is one entry's account of the units that it may use. It is not safe for
 // concurrent use.
 type Book struct {
@@ -36,7 +39,7 @@
 	heldSum int
 	// running maps a task to the time at which it has certainly ended; the
 	// zero time means that its end will be reported.
-	running map[string]time.Time
+	running map[Task]time.Time
 	// lapses counts the tasks that have a time in running.
 	lapses int
 }
@@ -71,7 +74,7 @@
 			held:    make(map[string]*Loan),
 			owed:    make(map[string]*Loan),
 			closed:  make(map[string]time.Time),
-			running: make(map[string]time.Time),
+			running: make(map[Task]time.Time),
 		}
 		b.teams[team] = a
 	}
@@ -90,7 +93,7 @@
 
 // Start counts the task against the team and reports whether it may run. A
 // task that is counted already is refused.
-func (b *Book) Start(team, task string, now time.Time) bool {
+func (b *Book) Start(team string, task Task, now time.Time) bool {
 	a := b.account(team)
 	if _, ok := a.running[task]; ok {
 		return false
@@ -104,7 +107,7 @@
 
 // Lapse keeps the task counted until at, when its lease has certainly ended.
 // It is used when the end of the task can't be proved.
-func (b *Book) Lapse(team, task string, at time.Time) {
+func (b *Book) Lapse(team string, task Task, at time.Time) {
 	a := b.account(team)
 	if old, ok := a.running[task]; ok && old.IsZero() {
 		a.running[task] = at
@@ -113,7 +116,7 @@
 }
 
 // End stops counting the task, whose end is proved.
-func (b *Book) End(team, task string) {
+func (b *Book) End(team string, task Task) {
 	a := b.account(team)
 	if at, ok := a.running[task]; ok {
 		if !at.IsZero() {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -77,7 +77,7 @@
 }
 
 type task struct {
-	id    string
+	id    limit.Task
 	entry int
 	// lapse is the end of the task's lease.
 	lapse time.Time
@@ -115,7 +115,8 @@
 
 func (m *machine) start() {
 	i, ok := m.alive("entry")
-	id := m.id()
+	m.next++
+	id := limit.Task(m.next)
 	if ok && m.books[i].Start(team, id, m.now) {
 		m.running = append(m.running, task{id: id, entry: i, lapse: m.now.Add(run)})
 	}
@@ -313,15 +314,15 @@
 	b := limit.New(limit.Config{Task: run})
 	b.SetOwn(team, 3)
 	for i := range 3 {
-		g.Expect(b.Start(team, fmt.Sprint(i), now)).To(gomega.BeTrue())
+		g.Expect(b.Start(team, limit.Task(i), now)).To(gomega.BeTrue())
 	}
 	b.SetOwn(team, 1)
-	g.Expect(b.Start(team, "late", now)).To(gomega.BeFalse())
-	b.End(team, "0")
-	b.End(team, "1")
-	g.Expect(b.Start(team, "late", now)).To(gomega.BeFalse())
-	b.End(team, "2")
-	g.Expect(b.Start(team, "late", now)).To(gomega.BeTrue())
+	g.Expect(b.Start(team, 9, now)).To(gomega.BeFalse())
+	b.End(team, 0)
+	b.End(team, 1)
+	g.Expect(b.Start(team, 9, now)).To(gomega.BeFalse())
+	b.End(team, 2)
+	g.Expect(b.Start(team, 9, now)).To(gomega.BeTrue())
 }
 
 func TestSuspendedBorrowerStops(t *testing.T) {
@@ -339,8 +340,8 @@
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		book.Start(team, "x", now)
-		book.End(team, "x")
+		book.Start(team, 1, now)
+		book.End(team, 1)
 	}
 }
 
@@ -348,6 +349,6 @@
 	b := limit.New(limit.Config{Task: 30 * time.Second})
 	b.SetOwn("festival", limit.Part(12, []string{"east", "west"}, "east", []int{0, 1, 2, 3}))
 	now := time.Now()
-	fmt.Println(b.Free("festival", now), b.Start("festival", "task-1", now), b.Free("festival", now))
+	fmt.Println(b.Free("festival", now), b.Start("festival", 1, now), b.Free("festival", now))
 	// Output: 4 true 3
 }
--- a/limit/loan_test.go
+++ b/limit/loan_test.go
@@ -20,11 +20,11 @@
 	g := gomega.NewWithT(t)
 	now := time.Unix(1_000_000, 0)
 	b := borrowed(now, 2)
-	g.Expect(b.Start(team, "a", now)).To(gomega.BeTrue())
+	g.Expect(b.Start(team, 1, now)).To(gomega.BeTrue())
 	later := now.Add(term)
 	g.Expect(b.Free(team, later)).To(gomega.Equal(-1))
 	g.Expect(b.Owed(team, later)).To(gomega.BeEmpty())
-	b.End(team, "a")
+	b.End(team, 1)
 	g.Expect(b.Owed(team, later)).To(gomega.HaveLen(1))
 	g.Expect(b.Owed(team, later)).To(gomega.BeEmpty())
 }
--- a/limit/part.go
+++ b/limit/part.go
@@ -17,9 +17,9 @@
 //
 //	book := limit.New(limit.Config{Task: 30 * time.Second})
 //	book.SetOwn("festival", limit.Part(12, centres, centre, seats))
-//	if book.Start("festival", id, now) {
+//	if book.Start("festival", number, now) {
 //		// run the task, then:
-//		book.End("festival", id)
+//		book.End("festival", number)
 //	}
 //
 // The package does no input or output and reads no clock.
--- a/peer/client.go
+++ b/peer/client.go
@@ -139,7 +139,7 @@
 func (m *Mesh) exchange(ctx context.Context, c *client) (State, error) {
 	var out State
 	err := c.call(ctx, func(ctx context.Context, stub wire.PeerClient) error {
-		req := &wire.BeatRequest{State: m.state()}
+		req := &wire.BeatRequest{State: m.state(m.isNear(c.address))}
 		m.config.Sent(sizeOf(req))
 		reply, err := stub.Beat(ctx, req)
 		if err != nil {
@@ -157,6 +157,19 @@
 	return out, nil
 }
 
+// isNear reports whether an address belongs to the own data centre. One that
+// is not known yet counts as near.
+func (m *Mesh) isNear(a netip.AddrPort) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if p.From.Address == a {
+			return p.From.Centre == m.config.Self.Centre
+		}
+	}
+	return true
+}
+
 // follow pulls from a member that holds something newer.
 func (m *Mesh) follow(ctx context.Context, c *client, theirs State) {
 	m.pulling.Lock()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -15,9 +15,13 @@
 	return proto.Size(m)
 }
 
-// state returns the own state as it is sent.
-func (m *Mesh) state() *wire.State {
+// state returns the own state as it is sent within the data centre, or to
+// another one.
+func (m *Mesh) state(near bool) *wire.State {
 	s := m.host.State()
+	if !near {
+		s.Demands = nil
+	}
 	return &wire.State{
 		From:   encodeMember(m.config.Self),
 		Rev:    s.Rev,
@@ -28,6 +32,9 @@
 			return &wire.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
 		}),
 		List: encodePosition(s.List),
+		Demands: lo.Map(s.Demands, func(d Demand, _ int) *wire.Demand {
+			return &wire.Demand{Pool: d.Pool, Team: d.Team, Rank: uint32(d.Rank), Count: uint32(d.Count), Waits: d.Waits}
+		}),
 	}
 }
 
@@ -42,6 +49,9 @@
 			return fleet.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
 		}),
 		List: decodePosition(s.GetList()),
+		Demands: lo.Map(s.GetDemands(), func(d *wire.Demand, _ int) Demand {
+			return Demand{Pool: d.Pool, Team: d.Team, Rank: int(d.Rank), Count: int(d.Count), Waits: d.Waits}
+		}),
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -41,11 +41,13 @@
 	// Beat is the time between beats within a data centre.
 	Beat = time.Second
 	// farBeats is how many beats pass between two to another data centre.
-	farBeats = 3
+	farBeats = 6
 	// callTimeout bounds one call.
 	callTimeout = time.Second
-	// Silence is how long a member may be silent before it counts as missing.
-	Silence = 4 * time.Second
+	// nearSilence and farSilence are how long a member of the own or of another
+	// data centre may be silent before it counts as missing.
+	nearSilence = 4 * time.Second
+	farSilence  = 3 * farBeats * Beat
 	// links is how many entries of a data centre beat to each other one.
 	links = 2
 	// strikes is how many failed calls end a connection, which may be dead
@@ -92,6 +94,18 @@
 	Leaving      bool
 	Restrictions []fleet.Restriction
 	List         Position
+	// Demands are the entry's demands on pressed pools; they are told only
+	// within the data centre.
+	Demands []Demand
+}
+
+// Demand is what an entry could use of a pool for one team and class.
+type Demand struct {
+	Pool  string
+	Team  string
+	Rank  int
+	Count int
+	Waits bool
 }
 
 // Peer is what the mesh knows of another entry.
@@ -99,6 +113,8 @@
 	State
 	// Seen is when the member was last heard; zero means never.
 	Seen time.Time
+	// near is true for a member of the own data centre.
+	near bool
 	// Dead is when the member's run was proved to have ended; zero means that
 	// there is no proof.
 	Dead time.Time
@@ -106,7 +122,11 @@
 
 // Live reports whether the member was heard lately and is not leaving.
 func (p Peer) Live(now time.Time) bool {
-	return p.Dead.IsZero() && !p.Leaving && !p.Seen.IsZero() && now.Sub(p.Seen) < Silence
+	silence := farSilence
+	if p.near {
+		silence = nearSilence
+	}
+	return p.Dead.IsZero() && !p.Leaving && !p.Seen.IsZero() && now.Sub(p.Seen) < silence
 }
 
 // Config configures a mesh.
@@ -244,7 +264,7 @@
 		gone.Dead = now
 		died = &gone
 	}
-	m.peers[s.From.Name] = &Peer{State: s, Seen: now}
+	m.peers[s.From.Name] = &Peer{State: s, Seen: now, near: s.From.Centre == m.config.Self.Centre}
 	m.mu.Unlock()
 	if died != nil {
 		m.config.Died(*died)
--- a/peer/server.go
+++ b/peer/server.go
@@ -30,7 +30,7 @@
 			s.mesh.follow(ctx, s.mesh.clientOf(theirs.From.Address), theirs)
 		})
 	}
-	reply := &wire.BeatReply{State: s.mesh.state()}
+	reply := &wire.BeatReply{State: s.mesh.state(theirs.From.Centre == s.mesh.config.Self.Centre)}
 	s.mesh.config.Sent(sizeOf(reply))
 	return reply, nil
 }
--- a/route/table.go
+++ b/route/table.go
@@ -101,6 +101,10 @@
 	budget int
 	aside  int
 	rate   float64
+	// slots counts those of the VMs that take tasks, near those of the own
+	// data centre.
+	slots int
+	near  int
 }
 
 type vm struct {
@@ -146,12 +150,16 @@
 		return
 	}
 	t.leave(m)
+	if m.pool != nil {
+		t.tally(m, -1)
+	}
 	if m.pool != nil && m.aside && m.Pool != v.Pool {
 		m.pool.aside--
 		m.aside = false
 	}
 	m.VM = v
 	m.pool = t.poolOf(v.Pool)
+	t.tally(m, 1)
 	t.place(m)
 }
 
@@ -162,6 +170,7 @@
 		return
 	}
 	t.leave(m)
+	t.tally(m, -1)
 	if m.aside {
 		m.pool.aside--
 	}
@@ -194,13 +203,29 @@
 
 // Slots returns the number of slots of the pool's VMs that take tasks.
 func (t *Table) Slots(pool string) int {
-	n := 0
-	for _, m := range t.vms {
-		if m.Pool == pool && m.Serves {
-			n += m.Slots
-		}
+	if p := t.pools[pool]; p != nil {
+		return p.slots
+	}
+	return 0
+}
+
+// Near returns the number of those slots in the table's own data centre.
+func (t *Table) Near(pool string) int {
+	if p := t.pools[pool]; p != nil {
+		return p.near
+	}
+	return 0
+}
+
+// tally adds the VM's slots to its pool's, or with -1 takes them off.
+func (t *Table) tally(m *vm, sign int) {
+	if !m.Serves {
+		return
+	}
+	m.pool.slots += sign * m.Slots
+	if m.Centre == t.centre {
+		m.pool.near += sign * m.Slots
 	}
-	return n
 }
 
 // Own returns the number of this entry's tasks on the VM.
--- a/share/queue.go
+++ b/share/queue.go
@@ -11,7 +11,7 @@
 //
 //	q := share.New(share.Config{Share: cfg.Share})
 //	q.Push(&share.Item{Team: "till", Rank: fleet.Normal.Rank(), Value: req})
-//	item := q.Next(share.Ranks, func(team string) bool { return book.Free(team, now) > 0 })
+//	item := q.Next(share.Ranks, func(team string, _ int) bool { return book.Free(team, now) > 0 })
 //
 // The package does no input or output and reads no clock.
 package share
@@ -142,7 +142,7 @@
 	l.remove(it)
 	q.size--
 	if l.size == 0 {
-		q.drop(&q.ranks[it.Rank], l)
+		q.rest(&q.ranks[it.Rank], l)
 	}
 	return true
 }
@@ -151,19 +151,20 @@
 // true, and charges its team. Only the first ranks classes are served. It
 // returns nil when there is none. Teams that are not ready are set apart until
 // [Queue.Wake].
-func (q *Queue) Next(ranks int, ready func(team string) bool) *Item {
+func (q *Queue) Next(ranks int, ready func(team string, rank int) bool) *Item {
 	for i := range min(ranks, Ranks) {
-		if it := q.nextOf(&q.ranks[i], ready); it != nil {
+		if it := q.nextOf(i, ready); it != nil {
 			return it
 		}
 	}
 	return nil
 }
 
-func (q *Queue) nextOf(r *rank, ready func(team string) bool) *Item {
+func (q *Queue) nextOf(i int, ready func(team string, rank int) bool) *Item {
+	r := &q.ranks[i]
 	for len(r.active) > 0 {
 		l := r.active[0]
-		if !ready(l.team) {
+		if !ready(l.team, i) {
 			heap.Pop(&r.active)
 			r.parked[l.team] = l
 			continue
@@ -174,7 +175,7 @@
 		r.virtual = max(r.virtual, l.turn.virtual)
 		q.Charge(it.Team, it.Cost)
 		if l.size == 0 {
-			q.drop(r, l)
+			q.rest(r, l)
 		}
 		return it
 	}
@@ -220,6 +221,17 @@
 	}
 }
 
+// Each calls f for each team and class with the number of its waiting tasks.
+func (q *Queue) Each(f func(team string, rank, waiting int)) {
+	for i := range q.ranks {
+		for team, l := range q.ranks[i].lines {
+			if l.size > 0 {
+				f(team, i, l.size)
+			}
+		}
+	}
+}
+
 // Parked calls f for each team that waits but was not ready.
 func (q *Queue) Parked(f func(team string, waiting int)) {
 	for i := range q.ranks {
@@ -229,11 +241,10 @@
 	}
 }
 
-// drop forgets an empty line.
-func (q *Queue) drop(r *rank, l *line) {
+// rest takes an empty line out of the order. It stays for the team's next task.
+func (q *Queue) rest(r *rank, l *line) {
 	if l.index >= 0 {
 		heap.Remove(&r.active, l.index)
 	}
 	delete(r.parked, l.team)
-	delete(r.lines, l.team)
 }
