Maintain and move VMs under availability budgets

Cause: a move only stopped tasks, and nothing was ever maintained. Change: package roll plans drains, reboots, returns and moves; each data centre's leader carries out what concerns its VMs, one change at the revision it was planned for. The budget is checked inside the change, so racing leaders and operators can't pass it. Operators' moves shift the targets until the next preset.

--- a/command/output.go
+++ b/command/output.go
@@ -10,6 +10,7 @@
 
 	"almondcove/entry"
 	"almondcove/operator"
+	"almondcove/roll"
 	"almondcove/timeline"
 )
 
@@ -100,6 +101,25 @@
 	_ = w.Flush()
 }
 
+func printForecasts(sh *shell, forecasts []roll.Forecast) {
+	w := tabwriter.NewWriter(sh.out, 0, 0, 2, ' ', 0)
+	tab := &shell{out: w}
+	tab.printf("POOL\tVMS\tDUE\tOUT\tDOWN\tLATE\tNEXT DUE\tPERIOD MET\n")
+	for _, f := range forecasts {
+		next := "now"
+		if f.Due == 0 {
+			next = f.Next.UTC().Format(time.DateTime)
+		}
+		met := "yes"
+		if !f.Met {
+			met = "no: " + f.Obstacle
+		}
+		tab.printf("%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", f.Pool, f.VMs, f.Due, f.Out, f.Down, f.Late, next, met)
+	}
+	// As for all output: a reader that has gone away needs none.
+	_ = w.Flush()
+}
+
 func orNone(s string) string {
 	if s == "" {
 		return "none"
--- a/command/verbs.go
+++ b/command/verbs.go
@@ -16,6 +16,7 @@
 	"almondcove/entry"
 	"almondcove/fleet"
 	"almondcove/operator"
+	"almondcove/roll"
 	"almondcove/settings"
 )
 
@@ -188,6 +189,7 @@
 			"period": "time within which each VM is maintained once, such as 840h",
 			"spare":  "true or false: the pool's VMs wait to be moved",
 		}},
+		{group: "pool", name: "maintain", help: "make every VM of a pool due for maintenance", args: []string{"name"}, run: post("/pools/", "/maintain")},
 		{group: "vm", name: "move", help: "move a VM to another pool", args: []string{"vm", "pool"}, run: func(ctx context.Context, c *call) error {
 			return c.change(ctx, http.MethodPost, "/vms/"+url.PathEscape(c.args[0])+"/move", map[string]string{"pool": c.args[1]})
 		}},
@@ -202,6 +204,7 @@
 		}},
 		{group: "entry", name: "remove", help: "declare an entry that can't be reached to have ended", args: []string{"name"}, run: entryRemove},
 		{name: "status", help: "print what an entry knows", run: status},
+		{name: "maintenance", help: "print how the maintenance of each pool goes", run: maintenance},
 		{name: "timeline", help: "print the merged events of all entries", run: showTimeline, flags: map[string]string{
 			"task": "only this task", "vm": "only this VM", "team": "only this team", "key": "only this key", "kind": "only this kind of event",
 		}},
@@ -345,6 +348,15 @@
 	return nil
 }
 
+func maintenance(ctx context.Context, c *call) error {
+	var forecasts []roll.Forecast
+	if err := c.client.Do(ctx, http.MethodGet, "/maintenance", nil, nil, &forecasts); err != nil {
+		return err
+	}
+	c.print(forecasts, func() { printForecasts(c.shell, forecasts) })
+	return nil
+}
+
 func showTimeline(ctx context.Context, c *call) error {
 	query := url.Values{}
 	for name, value := range c.flags {
--- a/entry/change.go
+++ b/entry/change.go
@@ -45,6 +45,10 @@
 // *Rewound and *Forked mean that nothing was changed, and *Doubtful that it
 // may have been.
 func (e *Entry) Change(ctx context.Context, ch fleet.Change) (Recorded, error) {
+	if move, ok := ch.(fleet.VMMove); ok {
+		move.Down = e.downIn(e.keeper.now().VMs[move.Name].Pool)
+		ch = move
+	}
 	return e.change(ctx, ch)
 }
 
@@ -110,6 +114,29 @@
 	return Recorded{}, &NotRecorded{Cause: &raced{}}
 }
 
+// changeAt records a change if the configuration is still at the revision for
+// which it was planned.
+func (e *Entry) changeAt(ctx context.Context, rev uint64, ch fleet.Change) error {
+	held := e.keeper.held()
+	if held.Head.Rev != rev {
+		return &raced{}
+	}
+	next, records, err := held.Apply(ch, rand.Text())
+	if err != nil || next == held {
+		return err
+	}
+	if err := e.commit(ctx, held, next, records); err != nil {
+		if _, ok := errors.Into[*raced](err); ok {
+			return errors.Join(err, e.catchUp(ctx))
+		}
+		return err
+	}
+	if e.keeper.adopt(next) {
+		e.inForce("plan")
+	}
+	return nil
+}
+
 // raced reports that another change came first.
 type raced struct{}
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,7 @@
 	seats    *seats
 	claims   *claims
 	leader   *leader
+	roller   *roller
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 	started  time.Time
@@ -127,6 +128,7 @@
 	e.claims = do.MustInvoke[*claims](e.injector)
 	e.seats = do.MustInvoke[*seats](e.injector)
 	e.leader = do.MustInvoke[*leader](e.injector)
+	e.roller = do.MustInvoke[*roller](e.injector)
 	e.start()
 	return e, nil
 }
@@ -162,6 +164,9 @@
 	do.Provide(e.injector, func(do.Injector) (*seats, error) {
 		return &seats{entry: e}, nil
 	})
+	do.Provide(e.injector, func(do.Injector) (*roller, error) {
+		return newRoller(e), nil
+	})
 	do.Provide(e.injector, func(do.Injector) (*leader, error) {
 		return &leader{entry: e}, nil
 	})
@@ -194,6 +199,7 @@
 	e.done.Go(func() { e.lend(ctx) })
 	e.done.Go(func() { e.probe(ctx) })
 	e.done.Go(func() { e.balance(ctx) })
+	e.done.Go(func() { e.roller.run(ctx) })
 	e.done.Go(func() { e.record(ctx) })
 	e.done.Go(func() { e.work.run(ctx) })
 	e.note(timeline.Event{Kind: "start", Note: "run " + e.config.Self.Run})
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -1,7 +1,11 @@
 package fleet
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
 	"slices"
+	"time"
 )
 
 // Change is one operator's change. The implementations are the types of this file.
@@ -37,8 +41,29 @@
 		Name string
 		Pool Pool
 	}
-	// VMMove starts the move of a VM to another pool.
-	VMMove struct{ Name, Pool string }
+	// VMMove starts the move of a VM to another pool. Down is the number of VMs
+	// of its pool that failed or can't be seen; they use the budget up first.
+	VMMove struct {
+		Name, Pool string
+		Down       int
+		// Planned marks a move towards the targets; others shift them.
+		Planned bool
+	}
+	// VMDrain takes a VM out for maintenance, under the same budget.
+	VMDrain struct {
+		Name, Boot string
+		Down       int
+	}
+	// VMDone ends the maintenance of a VM.
+	VMDone struct {
+		Name string
+		At   time.Time
+	}
+	// PoolWave makes every VM of a pool due for maintenance.
+	PoolWave struct {
+		Name string
+		At   time.Time
+	}
 	// VMPlace ends a move once the VM has no task left.
 	VMPlace struct{ Name string }
 	// VMLeave stops new tasks on a VM.
@@ -52,7 +77,10 @@
 	// Load replaces the whole configuration except its keys.
 	// The set of data centres of a configuration in use can't change, since
 	// the upper limits are divided over it.
-	Load struct{ Config *Config }
+	Load struct {
+		Config *Config
+		At     time.Time
+	}
 )
 
 func (PresetUse) change()   {}
@@ -64,6 +92,9 @@
 func (PoolSet) change()     {}
 func (VMMove) change()      {}
 func (VMPlace) change()     {}
+func (VMDrain) change()     {}
+func (VMDone) change()      {}
+func (PoolWave) change()    {}
 func (VMLeave) change()     {}
 func (VMReturn) change()    {}
 func (CentreOut) change()   {}
@@ -135,7 +166,10 @@
 		if _, ok := c.Presets[ch.Name]; !ok {
 			return nil, &Missing{Kind: "preset", Name: ch.Name}
 		}
-		c.Head.Preset = ch.Name
+		if c.Head.Preset != ch.Name {
+			c.Head.Preset = ch.Name
+			c.Head.Shift = nil
+		}
 		return nil, nil
 	case PresetSet:
 		c.Presets[ch.Name] = ch.Preset
@@ -151,12 +185,20 @@
 		return []string{"pool/" + ch.Name}, nil
 	case KeyGrant, KeyWithdraw:
 		return c.mutateKey(ch)
-	case VMMove, VMPlace, VMLeave, VMReturn:
+	case VMMove, VMPlace, VMLeave, VMReturn, VMDrain, VMDone:
 		return c.mutateVM(ch)
+	case PoolWave:
+		p, ok := c.Pools[ch.Name]
+		if !ok {
+			return nil, &Missing{Kind: "pool", Name: ch.Name}
+		}
+		p.Wave = ch.At
+		c.Pools[ch.Name] = p
+		return []string{"pool/" + ch.Name}, nil
 	case CentreOut, CentreBack:
 		return c.mutateCentre(ch)
 	case Load:
-		return c.load(ch.Config)
+		return c.load(ch.Config, ch.At)
 	}
 	return nil, &Missing{Kind: "change", Name: "of this type"}
 }
@@ -192,11 +234,28 @@
 		if _, ok := c.Pools[ch.Pool]; !ok {
 			return nil, &Missing{Kind: "pool", Name: ch.Pool}
 		}
-		v.To = ch.Pool
+		if from := cmp.Or(v.To, v.Pool); !ch.Planned && from != ch.Pool {
+			c.Head.shift(from, ch.Pool)
+		}
 		if ch.Pool == v.Pool {
 			// A move back to the VM's own pool takes an unfinished move back.
 			v.To = ""
+			break
+		}
+		if err := c.spend(name, v, ch.Down); err != nil {
+			return nil, err
+		}
+		v.To = ch.Pool
+	case VMDrain:
+		if err := c.spend(name, v, ch.Down); err != nil {
+			return nil, err
 		}
+		v.Out, v.Boot = true, ch.Boot
+	case VMDone:
+		if !v.Out {
+			return nil, &Conflict{Path: "vm/" + name, Reason: "the VM is not out for maintenance"}
+		}
+		v.Out, v.Boot, v.Done = false, "", ch.At
 	case VMPlace:
 		if v.To == "" {
 			return nil, &Conflict{Path: "vm/" + name, Reason: "the VM is not moving"}
@@ -211,8 +270,26 @@
 	return []string{"vms/" + v.Centre}, nil
 }
 
+// spend checks that the availability budget of the VM's pool allows one more
+// VM to be out by plan.
+func (c *Config) spend(name string, v VM, down int) error {
+	pool := c.Pools[v.Pool]
+	if pool.Spare || !v.Serves() || c.Centres[v.Centre].Out {
+		return nil
+	}
+	if used := c.Unavailable(v.Pool) + down; used >= pool.Budget {
+		return &Conflict{Path: "vm/" + name, Reason: fmt.Sprintf(
+			"the availability budget of pool %s is used up: %d of %d VMs are unavailable", v.Pool, used, pool.Budget)}
+	}
+	return nil
+}
+
 func vmName(ch Change) string {
 	switch ch := ch.(type) {
+	case VMDrain:
+		return ch.Name
+	case VMDone:
+		return ch.Name
 	case VMMove:
 		return ch.Name
 	case VMPlace:
@@ -246,27 +323,53 @@
 	return []string{"centre/" + name}, nil
 }
 
-// load takes over every object of from but its keys and head revision.
-func (c *Config) load(from *Config) ([]string, error) {
+// load takes over every object of from but its keys and head revision. VMs
+// that are new count as maintained within the last half of their pool's period,
+// at even distances, so that they don't all become due at once.
+func (c *Config) load(from *Config, now time.Time) ([]string, error) {
 	if len(c.Centres) > 0 && !sameNames(c.Centres, from.Centres) {
 		return nil, &Conflict{Path: "centres", Reason: "the set of data centres can't change once it is in use"}
 	}
 	touched := append(c.keysOf(), from.keysOf()...)
 	slices.Sort(touched)
 	touched = slices.Compact(touched)
-	old := c.Centres
+	old, known := c.Centres, c.VMs
 	from = from.clone()
+	from.spread(known, now)
 	c.Teams, c.Queues, c.Pools = from.Teams, from.Queues, from.Pools
 	c.Presets, c.Centres, c.VMs = from.Presets, from.Centres, from.VMs
 	for name, centre := range old {
 		c.Centres[name] = centre
 	}
 	if from.Head.Preset != "" {
-		c.Head.Preset = from.Head.Preset
+		c.Head.Preset, c.Head.Shift = from.Head.Preset, nil
 	}
 	return touched, nil
 }
 
+// spread sets when the VMs were last maintained: as known, or spread evenly.
+func (c *Config) spread(known map[string]VM, now time.Time) {
+	fresh := make(map[string][]string)
+	for _, name := range slices.Sorted(maps.Keys(c.VMs)) {
+		v := c.VMs[name]
+		if old, ok := known[name]; ok && v.Done.IsZero() {
+			v.Done = old.Done
+		}
+		if v.Done.IsZero() {
+			fresh[v.Pool] = append(fresh[v.Pool], name)
+		}
+		c.VMs[name] = v
+	}
+	for pool, names := range fresh {
+		half := time.Duration(c.Pools[pool].Period) / 2
+		for i, name := range names {
+			v := c.VMs[name]
+			v.Done = now.Add(-half * time.Duration(i) / time.Duration(len(names))).UTC()
+			c.VMs[name] = v
+		}
+	}
+}
+
 // keysOf returns the record key of every object except access keys.
 func (c *Config) keysOf() []string {
 	var out []string
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -92,6 +92,8 @@
 	Budget int `json:"budget"`
 	// Period is the time within which each VM is maintained once.
 	Period Duration `json:"period,omitempty"`
+	// Wave makes every VM due that was maintained before it.
+	Wave time.Time `json:"wave,omitzero"`
 }
 
 // Preset is a named set of targets, exactly one of which is in force.
@@ -118,6 +120,12 @@
 	Pool   string `json:"pool"`
 	// To names the pool that the VM is moving to; it takes no tasks meanwhile.
 	To string `json:"to,omitempty"`
+	// Out marks a VM that is out for maintenance; it takes no tasks meanwhile.
+	Out bool `json:"out,omitempty"`
+	// Boot is the run of the VM's process when it was taken out.
+	Boot string `json:"boot,omitempty"`
+	// Done is when the VM was last maintained.
+	Done time.Time `json:"done,omitzero"`
 	// Leave marks a VM that takes no new tasks.
 	Leave bool `json:"leave,omitempty"`
 	// Stamp orders the last Leave or return against restrictions still on their way.
@@ -126,7 +134,7 @@
 
 // Serves reports whether the VM's record allows new tasks.
 func (v VM) Serves() bool {
-	return !v.Leave && v.To == ""
+	return !v.Leave && !v.Out && v.To == ""
 }
 
 // Config is one revision of the configuration. Its maps must not be changed.
@@ -150,6 +158,9 @@
 	Stamp string `json:"stamp"`
 	// Preset is the preset in force.
 	Preset string `json:"preset"`
+	// Shift is by how many VMs operators' moves have changed the targets of the
+	// preset in force, for each pool.
+	Shift map[string]int `json:"shift,omitempty"`
 	// Past holds the stamps of the last revisions, the latest first.
 	Past []string `json:"past,omitempty"`
 }
@@ -180,6 +191,20 @@
 	return slices.Sorted(maps.Keys(c.Centres))
 }
 
+// Target returns the number of VMs that a pool should have under the preset in
+// force and the operators' moves since, or false when any number will do.
+func (c *Config) Target(pool string) (int, bool) {
+	n, ok := c.Presets[c.Head.Preset].Targets[pool]
+	return max(n+c.Head.Shift[pool], 0), ok
+}
+
+// shift changes the targets by one VM that operators move.
+func (h *Head) shift(from, to string) {
+	h.Shift = cloneMap(h.Shift)
+	h.Shift[from]--
+	h.Shift[to]++
+}
+
 // MaxLease returns the longest run time that any queue grants.
 func (c *Config) MaxLease() time.Duration {
 	var longest time.Duration
@@ -189,6 +214,17 @@
 	return longest
 }
 
+// Unavailable returns how many VMs of the pool take no tasks by the record.
+func (c *Config) Unavailable(pool string) int {
+	n := 0
+	for _, v := range c.VMs {
+		if v.Pool == pool && (!v.Serves() || c.Centres[v.Centre].Out) {
+			n++
+		}
+	}
+	return n
+}
+
 // Allows reports whether the team may submit to the queue.
 func (q Queue) Allows(team string) bool {
 	if q.Open {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -27,6 +27,7 @@
 	"almondcove/entry"
 	"almondcove/fleet"
 	"almondcove/problem"
+	"almondcove/roll"
 	"almondcove/timeline"
 )
 
@@ -44,6 +45,7 @@
 	// Stamp returns a stamp that orders a change against restrictions.
 	Stamp() timeline.Stamp
 	Status() entry.Status
+	Forecasts() []roll.Forecast
 	Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, []string)
 }
 
--- a/operator/verbs.go
+++ b/operator/verbs.go
@@ -5,11 +5,13 @@
 	"crypto/rand"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/danielgtaylor/huma/v2"
 
 	"almondcove/entry"
 	"almondcove/fleet"
+	"almondcove/roll"
 	"almondcove/timeline"
 )
 
@@ -31,6 +33,11 @@
 		func(context.Context, *none) (*statusOutput, error) {
 			return &statusOutput{Body: h.backend.Status()}, nil
 		})
+	type forecastOutput struct{ Body []roll.Forecast }
+	register(api, http.MethodGet, "/maintenance", "maintenance", "How the maintenance of each pool goes",
+		func(context.Context, *none) (*forecastOutput, error) {
+			return &forecastOutput{Body: h.backend.Forecasts()}, nil
+		})
 	type filter struct {
 		Task string `query:"task"`
 		VM   string `query:"vm"`
@@ -58,7 +65,7 @@
 		})
 	register(api, http.MethodPut, "/config", "load-config", "Replace the configuration except its keys",
 		func(ctx context.Context, in *load) (*output, error) {
-			return h.change(ctx, fleet.Load{Config: in.Body.Config()}, in.Waiting)
+			return h.change(ctx, fleet.Load{Config: in.Body.Config(), At: time.Now()}, in.Waiting)
 		})
 	register(api, http.MethodPost, "/config/restore", "restore-config", "Write the held configuration into a platform that lost it",
 		func(ctx context.Context, in *Waiting) (*output, error) {
@@ -84,6 +91,10 @@
 		func(ctx context.Context, in *Named) (*output, error) {
 			return h.change(ctx, fleet.PresetUse{Name: in.Name}, in.Waiting)
 		})
+	register(api, http.MethodPost, "/pools/{name}/maintain", "maintain-pool", "Make every VM of a pool due for maintenance",
+		func(ctx context.Context, in *Named) (*output, error) {
+			return h.change(ctx, fleet.PoolWave{Name: in.Name, At: time.Now()}, in.Waiting)
+		})
 	type setTeam struct {
 		Named
 		Body fleet.Team
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -32,6 +32,7 @@
 const (
 	defaultRun    = 20 * time.Millisecond
 	upstreamDelay = time.Second
+	rebootTime    = 2 * time.Second
 	maxBody       = 16 << 20
 	// remembered is how many ended tasks an upstream can still answer for.
 	remembered = 200_000
@@ -44,6 +45,8 @@
 	Slots  int    `json:"slots"`
 	// Runs gives the run time of a queue's tasks; others take 20 ms.
 	Runs map[string]fleet.Duration `json:"runs,omitempty"`
+	// Reboot is how long a reboot takes; zero means 2 s.
+	Reboot time.Duration `json:"-"`
 }
 
 // Upstream stands in for one VM that runs tasks. It is an [http.Handler].
@@ -93,6 +96,9 @@
 
 // NewUpstream returns an idle upstream.
 func NewUpstream(c UpstreamConfig) *Upstream {
+	if c.Reboot <= 0 {
+		c.Reboot = rebootTime
+	}
 	u := &Upstream{config: c, boot: rand.Text(), mux: http.NewServeMux(), tasks: make(map[string]*job)}
 	u.faults = newFaults(u.fault, faultSilent, faultSlow, faultCrossed, faultCut, faultFail, faultBusy, faultLeaving, faultPause)
 	u.mux.HandleFunc("PUT /tasks/{id}", u.put)
@@ -102,6 +108,7 @@
 	u.mux.HandleFunc("POST /tasks/{id}/throttle", u.steer)
 	u.mux.HandleFunc("GET /tasks", u.list)
 	u.mux.HandleFunc("GET /usage", u.usage)
+	u.mux.HandleFunc("POST /reboot", u.reboot)
 	u.mux.Handle("/faults", u.faults)
 	return u
 }
@@ -347,20 +354,36 @@
 
 func (u *Upstream) usage(w http.ResponseWriter, _ *http.Request) {
 	u.mu.Lock()
-	use := upstream.Usage{VM: u.config.VM, Slots: u.config.Slots, Running: u.busy, Leaving: u.faults.active(faultLeaving)}
+	use := upstream.Usage{Boot: u.boot, VM: u.config.VM, Slots: u.config.Slots, Running: u.busy, Leaving: u.faults.active(faultLeaving)}
 	u.mu.Unlock()
 	reply(w, http.StatusOK, use)
 }
 
+// reboot maintains the VM: it answers nothing for a while, and then has
+// forgotten every task. A VM that runs tasks cuts them short.
+func (u *Upstream) reboot(w http.ResponseWriter, _ *http.Request) {
+	u.mu.Lock()
+	for _, j := range u.tasks {
+		if j.done != nil && !closed(j.done) && !closed(j.stop) {
+			close(j.stop)
+		}
+	}
+	u.tasks, u.ended = make(map[string]*job), nil
+	u.boot = rand.Text()
+	u.mu.Unlock()
+	u.faults.set(faultPause, u.config.Reboot)
+	reply(w, http.StatusAccepted, problem{Title: "rebooting"})
+}
+
 // mark sets the headers that every answer about a task carries.
 func (u *Upstream) mark(w http.ResponseWriter, id, run string) {
 	u.mu.Lock()
-	load := u.busy
+	load, boot := u.busy, u.boot
 	u.mu.Unlock()
 	h := w.Header()
 	h.Set(upstream.HeaderTask, id)
 	h.Set(upstream.HeaderLoad, strconv.Itoa(load))
-	h.Set(upstream.HeaderBoot, u.boot)
+	h.Set(upstream.HeaderBoot, boot)
 	if run != "" {
 		h.Set(upstream.HeaderRun, run)
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -268,6 +268,23 @@
 	return res
 }
 
+// Reboot asks a VM to maintain itself and start anew. It reports whether the
+// VM took the request.
+func (c *Client) Reboot(ctx context.Context, vm netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.String()+"/reboot", http.NoBody)
+	if err != nil {
+		return false
+	}
+	res, err := c.fresh.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusAccepted
+}
+
 // Usage asks a VM for its usage over a new connection. It reports false when
 // the VM gives no readable answer.
 func (c *Client) Usage(ctx context.Context, vm netip.AddrPort) (Usage, bool) {
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -44,4 +44,6 @@
 	Slots   int    `json:"slots"`
 	Running int    `json:"running"`
 	Leaving bool   `json:"leaving"`
+	// Boot names the run of the VM's process.
+	Boot string `json:"boot"`
 }
