Plan no placement into a pool without budget

Cause: the planner's property test found a pool with 3 of 2 VMs unavailable: a VM that operators had taken out was placed into it. Change: a withdrawn VM is placed only where the budget has room, and counts there.

--- a/roll/roll.go
+++ b/roll/roll.go
@@ -160,7 +160,22 @@
 		case v.Out && v.Idle:
 			s.actions = append(s.actions, Reboot{VM: v.Name})
 		case v.To != "" && v.Idle:
-			s.actions = append(s.actions, Place{VM: v.Name})
+			s.place(i)
 		}
 	}
 }
+
+// place ends the move of a VM. One that operators took out uses the budget of
+// its new pool from then on.
+func (s *state) place(i int) {
+	v := s.vms[i]
+	if v.Leave && !s.room(v.To) {
+		return
+	}
+	s.actions = append(s.actions, Place{VM: v.Name})
+	s.used[v.Pool]--
+	s.vms[i].Pool, s.vms[i].To = v.To, ""
+	if v.Leave {
+		s.used[v.To]++
+	}
+}
