--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,7 +13,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -86,25 +88,27 @@
 }
 
 func (h *handler) register(api huma.API, maxBody int64) {
-	body := &huma.RequestBody{Description: "opaque; passed on to the upstream", Content: make(map[string]*huma.MediaType)}
 	huma.Register(api, huma.Operation{
 		OperationID: "submit-task",
 		Method:      http.MethodPost,
 		Path:        "/queues/{queue}/tasks",
 		Summary:     "Run a task",
 		Description: "Runs the task and answers with the upstream's whole answer.",
-		RequestBody: body,
-		// A body that reaches the bound is refused by the library.
-		MaxBodyBytes:     maxBody + 1,
-		BodyReadTimeout:  bodyTimeout,
-		SkipValidateBody: true,
+		RequestBody: &huma.RequestBody{
+			Description: "opaque; passed on to the upstream",
+			Content:     map[string]*huma.MediaType{"application/octet-stream": {Schema: &huma.Schema{Type: "string", Format: "binary"}}},
+		},
 		Errors: []int{
 			http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound, http.StatusRequestEntityTooLarge,
 			http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
 		},
-	}, h.submit)
-	// The library requires a body by default; a task may do without.
-	body.Required = false
+	}, func(ctx context.Context, in *submission) (*huma.StreamResponse, error) {
+		body, err := in.read(maxBody)
+		if err != nil {
+			return nil, err
+		}
+		return h.submit(ctx, in, body)
+	})
 	huma.Register(api, huma.Operation{
 		OperationID: "health", Method: http.MethodGet, Path: "/healthz", Summary: "Whether the process runs",
 	}, h.health)
@@ -121,12 +125,52 @@
 	Deadline      string `header:"Task-Deadline" doc:"how long the task may wait for its start, such as 2s"`
 	Type          string `header:"Content-Type" doc:"passed on to the upstream"`
 	Accept        string `header:"Accept" doc:"passed on to the upstream"`
-	RawBody       []byte
+	// body is read by the handler itself: the library would keep it in memory
+	// that it uses again after the answer, when it may still be on its way to a VM.
+	body   io.Reader
+	length int64
+}
+
+// Resolve takes note of the request's body.
+func (s *submission) Resolve(ctx huma.Context) []error {
+	// The bound is there before the first byte is read.
+	_ = ctx.SetReadDeadline(time.Now().Add(bodyTimeout))
+	s.body, s.length = ctx.BodyReader(), -1
+	if n, err := strconv.ParseInt(ctx.Header("Content-Length"), 10, 64); err == nil {
+		s.length = n
+	}
+	return nil
+}
+
+// read returns the whole body.
+func (s *submission) read(most int64) ([]byte, error) {
+	if s.body == nil || s.length == 0 {
+		return nil, nil
+	}
+	tooLarge := problem.New(http.StatusRequestEntityTooLarge, "body too large", "the bound is "+strconv.FormatInt(most, 10)+" bytes").Run(problem.No)
+	if s.length > most {
+		return nil, tooLarge
+	}
+	var body []byte
+	var err error
+	if s.length > 0 {
+		body = make([]byte, s.length)
+		_, err = io.ReadFull(s.body, body)
+	} else {
+		body, err = io.ReadAll(io.LimitReader(s.body, most+1))
+	}
+	switch {
+	case err != nil:
+		return nil, problem.New(http.StatusBadRequest, "broken body", "the body could not be read to its end: "+err.Error()).Run(problem.No)
+	case int64(len(body)) > most:
+		return nil, tooLarge
+	}
+	return body, nil
 }
 
 // submit runs one task.
-func (h *handler) submit(ctx context.Context, in *submission) (*huma.StreamResponse, error) {
-	call, err := h.check(in)
+func (h *handler) submit(ctx context.Context, in *submission, body []byte) (*huma.StreamResponse, error) {
+	call, err := h.check(in, body)
 	if err != nil {
 		return nil, err
 	}
--- a/caller/check.go
+++ b/caller/check.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,7 +15,7 @@
 const unreadyRetry = 2 * time.Second
 
 // check turns a request into a call, or says why it is refused.
-func (h *handler) check(in *submission) (entry.Call, error) {
+func (h *handler) check(in *submission, body []byte) (entry.Call, error) {
 	cfg := h.backend.Settings()
 	if cfg.Head.Rev == 0 {
 		return entry.Call{}, problem.New(http.StatusServiceUnavailable, "unready", "the entry has no configuration yet").
@@ -26,9 +25,6 @@
 	if !ok {
 		return entry.Call{}, problem.New(http.StatusNotFound, "unknown queue", "there is no queue "+strconv.Quote(in.Queue)).Run(problem.No)
 	}
-	// The library reuses the body's memory after the answer, when the body may
-	// still be on its way to a VM.
-	body := bytes.Clone(in.RawBody)
 	call := entry.Call{Queue: in.Queue, Body: body, Type: in.Type, Accept: in.Accept, Idempotency: in.Idempotency}
 	var err error
 	if call.Wait, err = waitOf(in.Deadline); err != nil {
--- a/command/serve.go
+++ b/command/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -61,6 +62,9 @@
 		return err
 	}
 	log := newLog(sh.err, s.Name, s.Level)
+	// The collector works harder near the bound and keeps the process under the
+	// memory that its VM has for it.
+	debug.SetMemoryLimit(int64(s.Memory) << 20)
 	n, err := node.Start(node.Config{
 		Entry: entry.Config{
 			Self:     peer.Member{Name: s.Name, Centre: s.Centre, Address: s.Peers},
--- a/settings/entry.go
+++ b/settings/entry.go
@@ -34,6 +34,8 @@
 	Silence fleet.Duration `json:"silence"`
 	// Body bounds the body of a task in bytes.
 	Body int64 `json:"body"`
+	// Memory is the number of megabytes that the process keeps under if it can.
+	Memory int `json:"memory"`
 	// Level is the level of the log: trace, debug, info, warn or error.
 	Level string `json:"level"`
 }
@@ -46,6 +48,8 @@
 	defaultSilence = 500 * time.Millisecond
 	defaultBody    = 4 << 20
 	defaultLevel   = "info"
+	defaultMemory  = 96
+	maxMemory      = 1 << 20
 	maxBody        = 64 << 20
 	maxSpan        = 10 * time.Minute
 )
@@ -67,6 +71,7 @@
 		Silence: fleet.Duration(defaultSilence),
 		Body:    defaultBody,
 		Level:   defaultLevel,
+		Memory:  defaultMemory,
 	}
 	r := decode(data, &s)
 	if len(r.faults) == 0 || len(r.lines) > 1 {
@@ -94,6 +99,7 @@
 	r.span(s.Drain, time.Second, "drain")
 	r.span(s.Silence, 10*time.Millisecond, "silence")
 	r.require(s.Body > 0 && s.Body <= maxBody, "body", "a whole number from 1 to "+strconv.Itoa(maxBody))
+	r.require(s.Memory >= 16 && s.Memory <= maxMemory, "memory", "a whole number of megabytes from 16 to "+strconv.Itoa(maxMemory))
 	r.require(levels.MatchString(s.Level), "level", "trace, debug, info, warn or error")
 }
 
