--- a/peer/link.go
+++ b/peer/link.go
@@ -2,17 +2,18 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // hashOf returns a hash of a set of members.
 func hashOf(members []Member) uint64 {
 	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
-	h := fnv.New64a()
+	h := xxhash.New()
 	for _, m := range members {
 		// Writing to a hash never fails.
-		_, _ = h.Write([]byte(m.Name + "\x00" + m.Run + "\x00"))
+		_, _ = h.WriteString(m.Name + "\x00" + m.Run + "\x00")
 	}
 	return h.Sum64()
 }
@@ -29,10 +30,7 @@
 	}
 	ranks := make([]ranked, 0, len(own))
 	for _, name := range own {
-		h := fnv.New64a()
-		// Writing to a hash never fails.
-		_, _ = h.Write([]byte(name + "\x00" + far))
-		ranks = append(ranks, ranked{name, h.Sum64()})
+		ranks = append(ranks, ranked{name, xxhash.Sum64String(name + "\x00" + far)})
 	}
 	slices.SortFunc(ranks, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
 	for _, r := range ranks[:links] {
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -96,7 +96,12 @@
 	return 1 + bytes.Count(r.data[:min(offset, len(r.data))], []byte("\n"))
 }
 
+// fault reports what a member should hold. Only the first fault of each member
+// is reported.
 func (r *reader) fault(path, expected string) {
+	if slices.ContainsFunc(r.faults, func(f Fault) bool { return f.Member == path && path != "" }) {
+		return
+	}
 	r.faults = append(r.faults, Fault{Line: r.lineOf(path), Member: path, Expected: expected})
 }
 
@@ -127,7 +132,7 @@
 		return nil
 	}
 	slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
-	return &Faults{List: slices.Compact(r.faults)}
+	return &Faults{List: r.faults}
 }
 
 func (r *reader) value(v hujson.Value, target reflect.Value, path string) {
