Collect VMs' answers in a map of their own

Cause: the race detector (TestMaintenanceWave) found the planner deleting from a map that answers were written to. Change: each look collects into a new map.

--- a/entry/roll.go
+++ b/entry/roll.go
@@ -28,9 +28,9 @@
 )
 
 // roller plans and carries out maintenance and moves while the entry leads.
+// Only its own goroutine uses it.
 type roller struct {
 	entry *Entry
-	mu    sync.Mutex
 	// usage is what each VM of the data centre that is out or moving last said.
 	usage map[string]seen
 	// since is when the entry first saw a VM out or moving.
@@ -84,7 +84,9 @@
 // observe asks the VMs of the data centre that are out or moving.
 func (r *roller) observe(ctx context.Context, cfg *fleet.Config) {
 	now := time.Now()
+	var mu sync.Mutex
 	var all sync.WaitGroup
+	usage := make(map[string]seen)
 	for name, v := range cfg.VMs {
 		if v.Centre != r.entry.config.Self.Centre {
 			continue
@@ -102,16 +104,16 @@
 		}
 		all.Go(func() {
 			use, ok := r.entry.upstream.Usage(ctx, address)
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.usage[name] = seen{ok: ok && use.VM == name, running: use.Running, boot: use.Boot}
+			mu.Lock()
+			defer mu.Unlock()
+			usage[name] = seen{ok: ok && use.VM == name, running: use.Running, boot: use.Boot}
 		})
 	}
 	all.Wait()
+	r.usage = usage
 }
 
 func (r *roller) forget(name string) {
-	delete(r.usage, name)
 	delete(r.since, name)
 	delete(r.rebooted, name)
 	delete(r.reported, name)
