--- a/demo/demo.go
+++ b/demo/demo.go
@@ -303,6 +303,24 @@
 	return true
 }
 
+// Add starts one more entry in a data centre of the demo. It knows the others
+// as seeds, and is ready once it holds a configuration.
+func (d *Demo) Add(name, centre string) (*node.Node, error) {
+	hosts := map[string]netip.Addr{"east": EastHost, "west": WestHost}
+	var seeds []netip.AddrPort
+	for _, n := range d.Nodes {
+		seeds = append(seeds, n.Entry().Self().Address)
+	}
+	n, err := d.startNode(peer.Member{Name: name, Centre: centre}, hosts[centre], seeds, d.Access.Token)
+	if err != nil {
+		return nil, err
+	}
+	d.Nodes = append(d.Nodes, n)
+	d.Access.Callers = append(d.Access.Callers, "http://"+n.Callers().String())
+	d.Access.Operators = append(d.Access.Operators, "http://"+n.Operators().String())
+	return n, nil
+}
+
 // Operator returns the operators' client of one entry.
 func (d *Demo) Operator(i int) operator.Client {
 	return operator.Client{URL: d.Access.Operators[i], Token: d.Access.Token, HTTP: d.HTTP()}
