Use one type for demands and one site for benchmarks and targets

Cause: duplicates listed the demand twice and the simulated loads twice. Conclusion: reads shorter, does the same.

--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -66,6 +66,44 @@
 // perSecond is the rate of 100 ms tasks that fills the site.
 const perSecond = siteVMs * siteSlots * 10
 
+// skewed fills the site: the large team comes through one entry, the middle one
+// through two, the small one, which asks for most, through all.
+func (s *sim) skewed() {
+	s.arrivals(0, "large", "large-normal", 0.8*perSecond, 100*time.Millisecond)
+	s.arrivals(0, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+	s.arrivals(1, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
+	for e := range siteEntries {
+		s.arrivals(e, "small", "small-normal", 0.4*perSecond, 100*time.Millisecond)
+	}
+	s.runUntil(61 * time.Second)
+}
+
+// flooded runs the site at several times its mean, mostly with deferrable
+// tasks, and returns the p99 of the urgent ones' waits.
+func (s *sim) flooded() time.Duration {
+	for e := range siteEntries {
+		s.arrivals(e, "large", "large-deferrable", 0.6*perSecond, 100*time.Millisecond)
+		s.arrivals(e, "middle", "middle-normal", 0.15*perSecond, 100*time.Millisecond)
+	}
+	s.arrivals(2, "small", "small-urgent", 0.2*perSecond, 100*time.Millisecond)
+	s.runUntil(30 * time.Second)
+	waits := s.waits["small-urgent"]
+	slices.Sort(waits)
+	return waits[len(waits)*99/100]
+}
+
+// withBadVM runs the site at its mean with one VM that fails everything at
+// once, and returns the tasks in all and those that went there.
+func (s *sim) withBadVM() (total, bad int) {
+	s.vms["vm-3"].bad = true
+	for e := range siteEntries {
+		s.arrivals(e, "large", "large-normal", 0.15*perSecond, 100*time.Millisecond)
+	}
+	s.runUntil(30 * time.Second)
+	total = len(s.waits["large-normal"])
+	return total, total - s.done["large"]
+}
+
 // distance returns the mean and the worst relative distance from its share of
 // any team over the windows of 10 s after the first.
 func distance(s *sim) (mean, worst float64) {
@@ -99,15 +137,7 @@
 			var mean, worst, used float64
 			for b.Loop() {
 				s := newSite(variant)
-				// The large team comes through one entry, the middle one through
-				// two, the small one, which asks for most, through all.
-				s.arrivals(0, "large", "large-normal", 0.8*perSecond, 100*time.Millisecond)
-				s.arrivals(0, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
-				s.arrivals(1, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
-				for e := range siteEntries {
-					s.arrivals(e, "small", "small-normal", 0.4*perSecond, 100*time.Millisecond)
-				}
-				s.runUntil(61 * time.Second)
+				s.skewed()
 				mean, worst = distance(s)
 				used = 0
 				for _, seconds := range s.used {
@@ -134,15 +164,7 @@
 			var later int
 			for b.Loop() {
 				s := newSite(variant)
-				for e := range siteEntries {
-					s.arrivals(e, "large", "large-deferrable", 0.6*perSecond, 100*time.Millisecond)
-					s.arrivals(e, "middle", "middle-normal", 0.15*perSecond, 100*time.Millisecond)
-				}
-				s.arrivals(2, "small", "small-urgent", 0.2*perSecond, 100*time.Millisecond)
-				s.runUntil(30 * time.Second)
-				waits := s.waits["small-urgent"]
-				slices.Sort(waits)
-				p99 = waits[len(waits)*99/100]
+				p99 = s.flooded()
 				later = len(s.waits["large-deferrable"])
 			}
 			b.ReportMetric(p99.Seconds()*1000, "p99-ms")
@@ -160,14 +182,7 @@
 			var part float64
 			for b.Loop() {
 				s := newSite(variant)
-				s.vms["vm-3"].bad = true
-				total, bad := 0, 0
-				for e := range siteEntries {
-					s.arrivals(e, "large", "large-normal", 0.15*perSecond, 100*time.Millisecond)
-				}
-				s.runUntil(30 * time.Second)
-				total = len(s.waits["large-normal"])
-				bad = total - s.done["large"]
+				total, bad := s.withBadVM()
 				part = max(float64(bad-50*siteEntries), 0) / float64(total)
 			}
 			b.ReportMetric(100*part, "bad-%")
@@ -217,40 +232,18 @@
 func TestTargets(t *testing.T) {
 	t.Run("share", func(t *testing.T) {
 		s := newSite("balanced")
-		s.arrivals(0, "large", "large-normal", 0.8*perSecond, 100*time.Millisecond)
-		s.arrivals(0, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
-		s.arrivals(1, "middle", "middle-normal", 0.3*perSecond, 100*time.Millisecond)
-		for e := range siteEntries {
-			s.arrivals(e, "small", "small-normal", 0.4*perSecond, 100*time.Millisecond)
-		}
-		s.runUntil(61 * time.Second)
+		s.skewed()
 		if _, worst := distance(s); worst > 0.05 {
 			t.Errorf("a team is %.1f %% from its share over 10 s", 100*worst)
 		}
 	})
 	t.Run("urgent", func(t *testing.T) {
-		s := newSite("balanced")
-		for e := range siteEntries {
-			s.arrivals(e, "large", "large-deferrable", 0.6*perSecond, 100*time.Millisecond)
-			s.arrivals(e, "middle", "middle-normal", 0.15*perSecond, 100*time.Millisecond)
-		}
-		s.arrivals(2, "small", "small-urgent", 0.2*perSecond, 100*time.Millisecond)
-		s.runUntil(30 * time.Second)
-		waits := s.waits["small-urgent"]
-		slices.Sort(waits)
-		if p99 := waits[len(waits)*99/100]; p99 > time.Second {
+		if p99 := newSite("balanced").flooded(); p99 > time.Second {
 			t.Errorf("1 %% of urgent tasks wait longer than %v", p99)
 		}
 	})
 	t.Run("outlier", func(t *testing.T) {
-		s := newSite("balanced")
-		s.vms["vm-3"].bad = true
-		for e := range siteEntries {
-			s.arrivals(e, "large", "large-normal", 0.15*perSecond, 100*time.Millisecond)
-		}
-		s.runUntil(30 * time.Second)
-		total := len(s.waits["large-normal"])
-		bad := total - s.done["large"]
+		total, bad := newSite("balanced").withBadVM()
 		if bad-50*siteEntries > total/100 {
 			t.Errorf("a VM that fails everything got %d of %d tasks", bad, total)
 		}
--- a/entry/balance.go
+++ b/entry/balance.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/samber/lo"
-
 	"almondcove/dispatch"
 	"almondcove/peer"
 )
@@ -20,8 +18,7 @@
 			core.Balance(others)
 			own = core.Demands(dispatch.Named(others))
 		})
-		told := lo.Map(own, func(d dispatch.Demand, _ int) peer.Demand { return peer.Demand(d) })
-		e.demands.Store(&told)
+		e.demands.Store(&own)
 	}
 }
 
@@ -31,7 +28,7 @@
 	now := time.Now()
 	for _, p := range e.mesh.Peers() {
 		if p.From.Centre == e.config.Self.Centre && p.Live(now) {
-			out = append(out, lo.Map(p.Demands, func(d peer.Demand, _ int) dispatch.Demand { return dispatch.Demand(d) })...)
+			out = append(out, p.Demands...)
 		}
 	}
 	return out
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/samber/do/v2"
 	"google.golang.org/grpc"
 
+	"almondcove/dispatch"
 	"almondcove/fleet"
 	"almondcove/network"
 	"almondcove/peer"
@@ -87,7 +88,7 @@
 	done     sync.WaitGroup
 	started  time.Time
 	// demands are what the entry tells the others of its data centre.
-	demands atomic.Pointer[[]peer.Demand]
+	demands atomic.Pointer[[]dispatch.Demand]
 	mu      sync.Mutex
 	leaving bool
 	// dead holds the runs of entries that are proved to have ended, and since when.
--- a/entry/host.go
+++ b/entry/host.go
@@ -16,7 +16,7 @@
 
 // State describes the entry.
 func (h *host) State() peer.State {
-	var demands []peer.Demand
+	var demands []dispatch.Demand
 	if told := h.demands.Load(); told != nil {
 		demands = *told
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -7,6 +7,7 @@
 	"github.com/samber/lo"
 	"google.golang.org/protobuf/proto"
 
+	"almondcove/dispatch"
 	"almondcove/fleet"
 	"almondcove/peer/wire"
 )
@@ -32,7 +33,7 @@
 			return &wire.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
 		}),
 		List: encodePosition(s.List),
-		Demands: lo.Map(s.Demands, func(d Demand, _ int) *wire.Demand {
+		Demands: lo.Map(s.Demands, func(d dispatch.Demand, _ int) *wire.Demand {
 			return &wire.Demand{Pool: d.Pool, Team: d.Team, Rank: uint32(d.Rank), Count: uint32(d.Count), Waits: d.Waits}
 		}),
 	}
@@ -49,8 +50,8 @@
 			return fleet.Restriction{Kind: r.Kind, Name: r.Name, Stamp: r.Stamp}
 		}),
 		List: decodePosition(s.GetList()),
-		Demands: lo.Map(s.GetDemands(), func(d *wire.Demand, _ int) Demand {
-			return Demand{Pool: d.Pool, Team: d.Team, Rank: int(d.Rank), Count: int(d.Count), Waits: d.Waits}
+		Demands: lo.Map(s.GetDemands(), func(d *wire.Demand, _ int) dispatch.Demand {
+			return dispatch.Demand{Pool: d.Pool, Team: d.Team, Rank: int(d.Rank), Count: int(d.Count), Waits: d.Waits}
 		}),
 	}
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -31,6 +31,7 @@
 
 	"google.golang.org/grpc"
 
+	"almondcove/dispatch"
 	"almondcove/fleet"
 	"almondcove/peer/wire"
 	"almondcove/timeline"
@@ -96,16 +97,7 @@
 	List         Position
 	// Demands are the entry's demands on pressed pools; they are told only
 	// within the data centre.
-	Demands []Demand
-}
-
-// Demand is what an entry could use of a pool for one team and class.
-type Demand struct {
-	Pool  string
-	Team  string
-	Rank  int
-	Count int
-	Waits bool
+	Demands []dispatch.Demand
 }
 
 // Peer is what the mesh knows of another entry.
