Refuse hopeless tasks early and let no class starve

Cause: strict classes starved deferrable tasks (217 starts in 30 s beside an urgent and a normal load); a task that could not start before its deadline waited for it; a task that failed on both VMs of a pool was sent again until its deadline. Change: one turn in twenty and a twentieth of a pressed pool's slots go to later classes; a task is refused at once when those of its team before it fill the time even in the best case; a second failure on the same VM ends a task.

--- a/demo/upstream_test.go
+++ b/demo/upstream_test.go
@@ -219,3 +219,66 @@
 		g.Expect(count(replies)).To(gomega.Equal(map[int]int{http.StatusOK: 600}))
 	})
 }
+
+// TestBarrenTask sends a task to a pool in which every VM fails it.
+func TestBarrenTask(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		// The retries that one task may use are earned by others.
+		g.Expect(count(load(d, d.Access.Open, 10*time.Millisecond, time.Second))).To(gomega.Equal(map[int]int{http.StatusOK: 100}))
+		for _, u := range d.Upstreams {
+			u.Fault("fail", 0)
+		}
+		before, _ := starts(d)
+		begun := time.Now()
+		r := post(d, 0, d.Access.Open, nil)
+		g.Expect(r.status).To(gomega.Equal(http.StatusBadGateway))
+		g.Expect(r.run()).To(gomega.Equal("yes"))
+		g.Expect(string(r.body)).To(gomega.ContainSubstring("can never run"))
+		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", time.Second))
+		after, _ := starts(d)
+		g.Expect(len(after) - len(before)).To(gomega.BeNumerically("<=", 3))
+	})
+}
+
+// TestHopelessDeadlineIsRefusedAtOnce asks for a start that the tasks before
+// it make impossible.
+func TestHopelessDeadlineIsRefusedAtOnce(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		var all sync.WaitGroup
+		for range 200 {
+			all.Go(func() { post(d, 0, d.Access.Slow, nil) })
+		}
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		r := post(d, 0, d.Access.Slow, nil, "Task-Deadline", "1s")
+		g.Expect(r.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		g.Expect(r.run()).To(gomega.Equal("no"))
+		g.Expect(r.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+		all.Wait()
+	})
+}
+
+// TestLimitIsUsable sends all of a team's tasks through one of four entries. At
+// least 95 % of the limit of 12 are in use within 2 s, and stay so.
+func TestLimitIsUsable(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		begun := time.Now()
+		var all sync.WaitGroup
+		for range 300 {
+			all.Go(func() { post(d, 0, d.Access.Slow, nil) })
+		}
+		all.Wait()
+		begins, _ := starts(d)
+		for at := 2 * time.Second; at < 11*time.Second; at += 100 * time.Millisecond {
+			running := 0
+			for _, s := range begins {
+				since := begun.Add(at).Sub(s.Time)
+				if since >= 0 && since < 505*time.Millisecond {
+					running++
+				}
+			}
+			g.Expect(running).To(gomega.BeNumerically(">=", 0.95*12), at.String())
+		}
+	})
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -32,9 +32,9 @@
 
 // The bounds of retries.
 const (
-	// DistinctFailures is on how many VMs a task may fail before it is taken
+	// distinctFailures is on how many VMs a task may fail before it is taken
 	// as one that can never run.
-	DistinctFailures = 3
+	distinctFailures = 3
 	// retryEarned is the part of a retry that each first try earns.
 	retryEarned = 0.1
 	// retryMost bounds the retries saved up.
@@ -93,6 +93,8 @@
 	vm     string
 	start  time.Time
 	failed []string
+	// repeated is true once the task failed on the same VM again.
+	repeated bool
 	// number identifies the present try in the account of limits, since an
 	// earlier try whose end is not proved may still count.
 	number limit.Task
@@ -101,8 +103,11 @@
 // VM returns the VM that the task was last given to.
 func (t *Task) VM() string { return t.vm }
 
-// Failed returns the VMs on which the task failed.
-func (t *Task) Failed() []string { return t.failed }
+// Barren reports whether the task is taken as one that can never run: it
+// failed on several VMs, or on one again for want of another.
+func (t *Task) Barren() bool {
+	return len(t.failed) >= distinctFailures || t.repeated
+}
 
 // Listed is what the platform's list says of a VM.
 type Listed struct {
@@ -239,7 +244,7 @@
 	if c.depth[t.Queue] >= q.Depth {
 		return &task.NotRun{Reason: task.Full, Retry: c.drainTime(t.Queue, q)}
 	}
-	if !now.Before(t.Deadline) {
+	if now.Add(c.leastWait(t, q)).After(t.Deadline) || !now.Before(t.Deadline) {
 		return &task.NotRun{Reason: task.Deadline, Retry: c.drainTime(t.Queue, q)}
 	}
 	t.pool = q.Pool
@@ -251,6 +256,18 @@
 	return nil
 }
 
+// leastWait returns how long the task waits at least: until those of its team
+// before it have run, even if every slot that the team may use served it.
+func (c *Core) leastWait(t *Task, q fleet.Queue) time.Duration {
+	cost, known := c.cost[t.Queue]
+	slots := min(c.table.Slots(q.Pool), c.config.Teams[t.Team].Limit)
+	if !known || slots <= 0 {
+		return 0
+	}
+	ahead := c.queue(q.Pool).Ahead(t.Team, q.Class.Rank())
+	return time.Duration(float64(ahead) * cost / float64(slots) * float64(time.Second))
+}
+
 // drainTime estimates when a full queue has room again.
 func (c *Core) drainTime(queue string, q fleet.Queue) time.Duration {
 	slots := max(c.table.Slots(q.Pool), 1)
--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -129,7 +129,8 @@
 	} else {
 		c.queue(t.pool).Charge(t.Team, -t.item.Cost)
 	}
-	if e.Proof == task.Done && !e.Good && !slices.Contains(t.failed, t.vm) {
+	if e.Proof == task.Done && !e.Good {
+		t.repeated = slices.Contains(t.failed, t.vm)
 		t.failed = append(t.failed, t.vm)
 	}
 	c.count(t, -1)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -254,8 +254,7 @@
 		res.Answer.VM = vm
 		return res.Answer
 	case res.Proof == task.Done:
-		barren := len(j.task.Failed()) >= dispatch.DistinctFailures
-		return task.Failed{VM: vm, Status: res.Answer.Status, Barren: barren}
+		return task.Failed{VM: vm, Status: res.Answer.Status, Barren: j.task.Barren()}
 	case res.Proof == task.Ended:
 		return task.Failed{VM: vm}
 	}
--- a/share/fill.go
+++ b/share/fill.go
@@ -13,19 +13,28 @@
 }
 
 // Fill divides slots over the claims and returns the part of each, in their
-// order. Lower ranks are filled first. Within a rank the parts are in the
-// proportion of the weights, except that no claim gets more than it wants;
-// what it leaves goes to the others.
+// order. Lower ranks are filled first, but for a twentieth of the slots that the
+// later ones keep. Within a rank the parts are in the proportion of the
+// weights, except that no claim gets more than it wants; what it leaves goes to
+// the others.
 func Fill(slots float64, claims []Claim) []float64 {
 	out := make([]float64, len(claims))
+	most := slots / lastTurn
 	for rank := range Ranks {
+		later := 0.0
+		for _, c := range claims {
+			if c.Rank > rank {
+				later += float64(c.Want)
+			}
+		}
+		kept := min(later, most)
 		var open []int
 		for i, c := range claims {
 			if c.Rank == rank && c.Want > 0 {
 				open = append(open, i)
 			}
 		}
-		slots -= fillRank(slots, claims, open, out)
+		slots -= fillRank(max(slots-kept, 0), claims, open, out)
 	}
 	return out
 }
--- a/share/queue.go
+++ b/share/queue.go
@@ -21,6 +21,9 @@
 // Ranks is the number of classes.
 const Ranks = 3
 
+// lastTurn is how many turns pass until one begins with the last class.
+const lastTurn = 20
+
 // Config configures a queue.
 type Config struct {
 	// Share returns a team's weight, at least 1.
@@ -33,6 +36,8 @@
 	ranks [Ranks]rank
 	teams map[string]*turn
 	size  int
+	// turns counts the calls of Next.
+	turns int
 }
 
 // Item is one waiting task.
@@ -97,6 +102,18 @@
 	return n
 }
 
+// Ahead returns the number of the team's waiting tasks that go before a new one
+// of the class.
+func (q *Queue) Ahead(team string, rank int) int {
+	n := 0
+	for i := range rank + 1 {
+		if l := q.ranks[i].lines[team]; l != nil {
+			n += l.size
+		}
+	}
+	return n
+}
+
 // Push adds the item behind its team's others of the same class.
 func (q *Queue) Push(it *Item) {
 	q.place(it, false)
@@ -148,11 +165,17 @@
 }
 
 // Next takes the item that goes next among the teams for which ready returns
-// true, and charges its team. Only the first ranks classes are served. It
-// returns nil when there is none. Teams that are not ready are set apart until
-// [Queue.Wake].
+// true, and charges its team. Only the first ranks classes are served; one turn
+// in twenty begins with the last of them, so that none starves. It returns nil
+// when there is none. Teams that are not ready are set apart until [Queue.Wake].
 func (q *Queue) Next(ranks int, ready func(team string, rank int) bool) *Item {
-	for i := range min(ranks, Ranks) {
+	ranks = min(ranks, Ranks)
+	q.turns++
+	reverse := q.turns%lastTurn == 0
+	for i := range ranks {
+		if reverse {
+			i = ranks - 1 - i
+		}
 		if it := q.nextOf(i, ready); it != nil {
 			return it
 		}
