Close gaps in loans, proofs of death and claims

Cause: reading every line of the limits found: a lender outwaited a borrower's last task by half a second less than the second in which a VM may still start it; a queue's lease made shorter cut the wait for tasks under the longer one; a run was taken as dead when another spoke under its name from another address; keyless callers of an open queue shared idempotency keys. Change: the wait counts the bound of the start; a shorter lease counts once the old tasks have ended; runs, not names, are what the mesh knows, and only another run at the same address or a refusal proves an end; a claim keeps the body's digest, and a key is needed for an idempotency key.

--- a/caller/check.go
+++ b/caller/check.go
@@ -31,6 +31,10 @@
 		return call, err
 	}
 	if in.Authorization == "" && queue.Open {
+		if in.Idempotency != "" {
+			// Callers that can't be told apart would get each other's answers.
+			return call, problem.New(http.StatusBadRequest, "idempotency key without a key", "expected Authorization with Idempotency-Key").Run(problem.No)
+		}
 		call.Team = queue.Owner
 		return call, nil
 	}
@@ -96,6 +100,8 @@
 		return http.StatusUnauthorized
 	case task.Claimed:
 		return http.StatusConflict
+	case task.Reused:
+		return http.StatusUnprocessableEntity
 	}
 	return http.StatusServiceUnavailable
 }
--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -220,6 +220,7 @@
 			{"unknown key on an open queue", "restock", []string{"Authorization", "Bearer a.b"}, nil, 401},
 			{"another team's queue", "report", nil, nil, 403},
 			{"body over the limit", "redeem", nil, make([]byte, 4<<20+1), 413},
+			{"idempotency key without a key", "restock", []string{"Idempotency-Key", "k"}, nil, 400},
 			{"bad deadline", "redeem", []string{"Task-Deadline", "soon"}, nil, 400},
 			{"negative deadline", "redeem", []string{"Task-Deadline", "-1s"}, nil, 400},
 			{"long idempotency key", "redeem", []string{"Idempotency-Key", string(bytes.Repeat([]byte("k"), 256))}, nil, 422},
@@ -271,3 +272,23 @@
 		g.Expect(ran).To(gomega.HaveLen(statuses[http.StatusOK]))
 	})
 }
+
+// TestSameNameTwice starts a second entry under the name of a running one, by
+// mistake. The first keeps its seats, and the limit holds.
+func TestSameNameTwice(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		_, err := d.Add("east-a", "east")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(2 * time.Minute)
+		held := make(map[int]int)
+		for _, i := range []int{0, 1, 4} {
+			for _, seat := range d.Nodes[i].Entry().Status().Seats {
+				held[seat]++
+			}
+		}
+		g.Expect(held).To(gomega.HaveLen(8))
+		for seat, n := range held {
+			g.Expect(n).To(gomega.Equal(1), "seat %d", seat)
+		}
+	})
+}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -207,9 +207,9 @@
 			for name := range cfg.VMs {
 				listed[name] = dispatch.Listed{Slots: 8}
 			}
-			core.Configure(cfg, []int{0, 1, 2, 3, 4, 5, 6, 7})
-			core.List(listed)
 			now := time.Unix(1_000_000, 0)
+			core.Configure(cfg, []int{0, 1, 2, 3, 4, 5, 6, 7}, now)
+			core.List(listed)
 			// Other teams wait behind their limits' lack of nothing: all run.
 			for i := range 44 {
 				name := fmt.Sprintf("t-%d", i)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	core := dispatch.New(dispatch.Config{Centre: "east", Seed: seed})
-//	core.Configure(cfg, seats)
+//	core.Configure(cfg, seats, now)
 //	if refused := core.Admit(t, now); refused != nil {
 //		return refused
 //	}
@@ -30,6 +30,10 @@
 	"almondcove/task"
 )
 
+// StartBound is how long after sending a task the VM may still start it. It
+// bounds how long a data centre taken out may see starts.
+const StartBound = time.Second
+
 // The bounds of retries.
 const (
 	// distinctFailures is on how many VMs a task may fail before it is taken
@@ -144,9 +148,9 @@
 
 // Configure puts a configuration in force for this entry, which holds the
 // given seats of its data centre.
-func (c *Core) Configure(cfg *fleet.Config, seats []int) {
+func (c *Core) Configure(cfg *fleet.Config, seats []int, now time.Time) {
 	c.config = cfg
-	c.book.SetTask(cfg.MaxLease())
+	c.book.SetTask(StartBound+cfg.MaxLease(), now)
 	centres := cfg.CentreNames()
 	for _, name := range c.book.Teams() {
 		if _, ok := cfg.Teams[name]; !ok {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -222,7 +222,7 @@
 		for name, vm := range s.vms {
 			listed[name] = dispatch.Listed{Slots: vm.slots}
 		}
-		core.Configure(cfg, seats)
+		core.Configure(cfg, seats, s.now)
 		core.List(listed)
 		cores = append(cores, core)
 		s.policies = append(s.policies, &ours{sim: s, core: core})
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -35,6 +35,8 @@
 	// Address and Boot name the run of the VM's process.
 	Address netip.AddrPort `json:"address"`
 	Boot    string         `json:"boot"`
+	// Body is the SHA-256 of the request's body, in hex.
+	Body string `json:"body"`
 	// Nonce identifies the write.
 	Nonce string `json:"nonce"`
 }
--- a/entry/host.go
+++ b/entry/host.go
@@ -116,10 +116,10 @@
 
 // configure gives configuration and seats to the dispatcher.
 func (e *Entry) configure() {
-	e.work.do(func(core *dispatch.Core, _ time.Time) {
+	e.work.do(func(core *dispatch.Core, now time.Time) {
 		cfg := e.keeper.now()
 		if cfg.Head.Rev > 0 {
-			core.Configure(cfg, e.seats.usable())
+			core.Configure(cfg, e.seats.usable(), now)
 		}
 	})
 }
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/base32"
+	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"net/netip"
@@ -32,6 +33,11 @@
 	return task.ID(base32.HexEncoding.WithPadding(base32.NoPadding).EncodeToString(sum[:16]))
 }
 
+func digestOf(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
 // claimName identifies the journey's task among all claims.
 func (j *journey) claimName() string {
 	return j.call.Team + "/" + j.call.Queue + "/" + string(j.id.Base())
@@ -47,6 +53,7 @@
 		VM:      vm,
 		Address: address,
 		Boot:    j.entry.upstream.Boot(address),
+		Body:    digestOf(j.call.Body),
 		Nonce:   rand.Text(),
 	}
 	value, err := json.Marshal(mine)
@@ -60,6 +67,9 @@
 	case reply.err != nil:
 		j.note("unclaimed", vm, reply.err.Error())
 		return j.unclaimed(), true
+	case reply.other != nil && reply.other.Body != mine.Body:
+		j.skip()
+		return j.notRun(task.NotRun{Reason: task.Reused}), true
 	case reply.other != nil:
 		j.skip()
 		j.held = location{}
@@ -90,7 +100,7 @@
 // proves that the task never ran there, the journey takes the claim over.
 func (j *journey) follow(ctx context.Context, other claim, at location) task.Outcome {
 	j.note("follow", other.VM, "claim of "+other.Entry)
-	until := time.Now().Add(startBound + time.Duration(j.queue.Lease) + limit.Margin)
+	until := time.Now().Add(dispatch.StartBound + time.Duration(j.queue.Lease) + limit.Margin)
 	inner, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	res := j.entry.upstream.Run(inner, other.Address, upstream.Request{
--- a/entry/lend.go
+++ b/entry/lend.go
@@ -191,7 +191,7 @@
 
 func (e *Entry) peer(name string) (peer.Peer, bool) {
 	for _, p := range e.mesh.Peers() {
-		if p.From.Name == name {
+		if p.From.Name == name && p.Dead.IsZero() {
 			return p, true
 		}
 	}
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -174,8 +174,9 @@
 		}
 	}
 	self := s.entry.config.Self
-	wait := loanTerm + s.entry.keeper.now().MaxLease() + 2*limit.Margin
 	now := time.Now()
+	wait := loanTerm + 2*limit.Margin
+	s.entry.work.read(func(core *dispatch.Core, _ time.Time) { wait += core.Book().Task() })
 	return func(seat int, by limit.Holder) bool {
 		if taken[seat] {
 			return false
--- a/entry/status.go
+++ b/entry/status.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		out.Of++
-		s, ok := states[p.From.Name]
+		s, ok := states[p.From.Run]
 		if ok && s.Rev >= rev && restricts(s, r, rev) {
 			out.On++
 			continue
@@ -201,8 +201,9 @@
 // Remove declares an entry that can't be reached to have ended, so that its
 // seats may be claimed. It is for operators who know that its VM is gone.
 func (e *Entry) Remove(name string) error {
+	removed := false
 	for _, p := range e.mesh.Peers() {
-		if p.From.Name != name {
+		if p.From.Name != name || !p.Dead.IsZero() {
 			continue
 		}
 		if p.Live(time.Now()) {
@@ -210,10 +211,13 @@
 		}
 		p.Dead = time.Now()
 		e.died(p)
-		e.mesh.Forget(name)
-		return nil
+		e.mesh.Forget(p.From.Run)
+		removed = true
 	}
-	return &fleet.Missing{Kind: "entry", Name: name}
+	if !removed {
+		return &fleet.Missing{Kind: "entry", Name: name}
+	}
+	return nil
 }
 
 // Stamp returns a stamp later than that of every restriction seen.
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,11 +15,8 @@
 	"almondcove/upstream"
 )
 
-// The times of a task's start.
+// The times of a task.
 const (
-	// startBound is how long after sending a task the VM may still start it. It
-	// bounds how long a data centre taken out may see starts.
-	startBound = time.Second
 	// patience is how long an idempotent task waits for any sign from its VM
 	// before it is tried elsewhere.
 	patience = 2 * time.Second
@@ -175,7 +172,7 @@
 }
 
 func (j *journey) request(now time.Time, vm string) upstream.Request {
-	notAfter := now.Add(startBound)
+	notAfter := now.Add(dispatch.StartBound)
 	if j.task.Deadline.Before(notAfter) {
 		notAfter = j.task.Deadline
 	}
--- a/limit/book.go
+++ b/limit/book.go
@@ -11,7 +11,7 @@
 
 // Config configures a book.
 type Config struct {
-	// Task is the longest time that a task may go on after its start.
+	// Task is the longest time that a task may go on after it was sent.
 	Task time.Duration
 }
 
@@ -21,7 +21,10 @@
 // Book is one entry's account of the units that it may use. It is not safe for
 // concurrent use.
 type Book struct {
-	task  time.Duration
+	task time.Duration
+	// lower is when the longest time may fall, since tasks that started before
+	// have ended by then; zero while it need not fall.
+	lower time.Time
 	teams map[string]*account
 }
 
@@ -61,9 +64,22 @@
 	return &Book{task: c.Task, teams: make(map[string]*account)}
 }
 
-// SetTask replaces the longest time that a task may go on after its start.
-func (b *Book) SetTask(d time.Duration) {
-	b.task = d
+// SetTask replaces the longest time that a task may go on after it was sent. A
+// shorter time counts only once every task sent under the longer has ended.
+func (b *Book) SetTask(d time.Duration, now time.Time) {
+	switch {
+	case d >= b.task:
+		b.task, b.lower = d, time.Time{}
+	case b.lower.IsZero():
+		b.lower = now.Add(b.task + Margin)
+	case !now.Before(b.lower):
+		b.task, b.lower = d, time.Time{}
+	}
+}
+
+// Task returns the longest time that a task may go on after it was sent.
+func (b *Book) Task() time.Duration {
+	return b.task
 }
 
 func (b *Book) account(team string) *account {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -352,3 +352,17 @@
 	fmt.Println(b.Free("festival", now), b.Start("festival", 1, now), b.Free("festival", now))
 	// Output: 4 true 3
 }
+
+func TestShorterTaskLeaseWaitsForOldTasks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1_000_000, 0)
+	b := limit.New(limit.Config{Task: time.Minute})
+	b.SetTask(time.Second, now)
+	g.Expect(b.Task()).To(gomega.Equal(time.Minute))
+	b.SetTask(time.Second, now.Add(time.Minute))
+	g.Expect(b.Task()).To(gomega.Equal(time.Minute))
+	b.SetTask(time.Second, now.Add(time.Minute+limit.Margin))
+	g.Expect(b.Task()).To(gomega.Equal(time.Second))
+	b.SetTask(time.Hour, now.Add(time.Minute+limit.Margin))
+	g.Expect(b.Task()).To(gomega.Equal(time.Hour))
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -235,7 +235,7 @@
 }
 
 // Survey asks every entry that is not proved dead for its state now and
-// returns the answers by name. Members that don't answer are left out.
+// returns the answers by run. Members that don't answer are left out.
 func (m *Mesh) Survey(ctx context.Context) map[string]State {
 	var mu sync.Mutex
 	out := make(map[string]State)
@@ -251,7 +251,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			out[s.From.Name] = s
+			out[s.From.Run] = s
 		})
 	}
 	all.Wait()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -49,6 +49,8 @@
 	// data centre may be silent before it counts as missing.
 	nearSilence = 4 * time.Second
 	farSilence  = 3 * farBeats * Beat
+	// deadTime is how long a run that is proved dead is still shown.
+	deadTime = 10 * time.Minute
 	// links is how many entries of a data centre beat to each other one.
 	links = 2
 	// strikes is how many failed calls end a connection, which may be dead
@@ -142,6 +144,7 @@
 	config Config
 	host   Host
 	mu     sync.Mutex
+	// peers holds what is known of each run.
 	peers  map[string]*Peer
 	dialed map[netip.AddrPort]*client
 	round  int
@@ -211,25 +214,25 @@
 	}
 }
 
-// learn adds a member that is not known yet. A member known to be there is
-// replaced only by what it says itself.
+// learn adds a run that is not known yet. One that is known is replaced only by
+// what it says itself.
 func (m *Mesh) learn(member Member) {
-	if member.Name == "" || member.Name == m.config.Self.Name {
+	if member.Run == "" || member.Run == m.config.Self.Run {
 		return
 	}
-	if _, ok := m.peers[member.Name]; !ok {
-		m.peers[member.Name] = &Peer{State: State{From: member}}
+	if _, ok := m.peers[member.Run]; !ok {
+		m.peers[member.Run] = &Peer{State: State{From: member}, near: member.Centre == m.config.Self.Centre}
 	}
 }
 
-// Forget removes a member that is proved dead, so that nobody waits for it.
-func (m *Mesh) Forget(name string) {
+// Forget removes a run that is proved dead, so that nobody waits for it.
+func (m *Mesh) Forget(run string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.peers, name)
+	delete(m.peers, run)
 }
 
-// Peers returns what is known of all other entries, by name.
+// Peers returns what is known of all other runs of entries, by name.
 func (m *Mesh) Peers() []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -243,43 +246,52 @@
 
 // heard takes note of a state that a member sent.
 func (m *Mesh) heard(s State) {
-	if s.From.Name == m.config.Self.Name {
+	if s.From.Run == m.config.Self.Run {
 		return
 	}
-	m.mu.Lock()
-	old := m.peers[s.From.Name]
 	now := time.Now()
-	var died *Peer
-	if old != nil && old.From.Run != "" && old.From.Run != s.From.Run && old.Dead.IsZero() {
-		// Another run answers under the name, and names are given once.
-		gone := *old
-		gone.Dead = now
-		died = &gone
-	}
-	m.peers[s.From.Name] = &Peer{State: s, Seen: now, near: s.From.Centre == m.config.Self.Centre}
+	m.mu.Lock()
+	m.peers[s.From.Run] = &Peer{State: s, Seen: now, near: s.From.Centre == m.config.Self.Centre}
+	died := m.bury(s.From.Address, s.From.Run, now)
 	m.mu.Unlock()
-	if died != nil {
-		m.config.Died(*died)
+	for _, p := range died {
+		m.config.Died(p)
 	}
 	m.host.Restrict(s.Restrictions)
 }
 
-// buried marks a member whose address refuses connections as dead.
-func (m *Mesh) buried(address netip.AddrPort) {
-	m.mu.Lock()
+// bury marks every run but one that listened on an address as dead, and
+// returns them.
+func (m *Mesh) bury(a netip.AddrPort, but string, now time.Time) []Peer {
 	var died []Peer
 	for _, p := range m.peers {
-		if p.From.Address == address && p.From.Run != "" && p.Dead.IsZero() {
-			p.Dead = time.Now()
+		if p.From.Address == a && p.From.Run != but && p.Dead.IsZero() {
+			p.Dead = now
 			died = append(died, *p)
 		}
 	}
+	return died
+}
+
+// buried marks the runs whose address refuses connections as dead.
+func (m *Mesh) buried(a netip.AddrPort) {
+	m.mu.Lock()
+	died := m.bury(a, "", time.Now())
 	m.mu.Unlock()
 	for _, p := range died {
 		m.config.Died(p)
 	}
 }
 
+// prune forgets runs that have been dead for long.
+func (m *Mesh) prune(now time.Time) {
+	for run, p := range m.peers {
+		if !p.Dead.IsZero() && now.Sub(p.Dead) > deadTime {
+			delete(m.peers, run)
+		}
+	}
+}
+
 // run sends beats until ctx ends.
 func (m *Mesh) run(ctx context.Context) {
 	ticker := time.NewTicker(Beat)
@@ -309,9 +321,13 @@
 	far := all || m.round%farBeats == 0
 	addresses := make(map[netip.AddrPort]bool)
 	known := make(map[netip.AddrPort]bool)
+	m.prune(time.Now())
 	own := m.ownNames()
 	state := m.host.State()
 	for _, p := range m.peers {
+		if !p.Dead.IsZero() {
+			continue
+		}
 		known[p.From.Address] = true
 		if all && !behind(p.State, state) {
 			continue
--- a/task/task.go
+++ b/task/task.go
@@ -95,6 +95,8 @@
 	Absent   Reason = "absent"
 	// Claimed is a task whose idempotency key can't be claimed now.
 	Claimed Reason = "claimed"
+	// Reused is a task whose idempotency key came with another body before.
+	Reused Reason = "reused"
 )
 
 // Text returns the reason as a sentence part for people.
@@ -110,6 +112,8 @@
 		return "the caller went away"
 	case Revoked:
 		return "the key was withdrawn while the task waited"
+	case Reused:
+		return "the idempotency key came with another body before"
 	case Claimed:
 		return "the claim on the idempotency key can't be recorded or is held by an earlier task"
 	case Absent:
