Bring leases back with a rewound history

Cause: after an outage and a rewind to before it, no entry led any more: the stand-in brought the leaders' keys back without their leases, so that they never ended. Conclusion: a fault of the stand-in.

--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -292,3 +292,19 @@
 		}
 	})
 }
+
+// TestRewindBeforeAnOutage takes the platform back to a time before an outage,
+// whose leases have ended since.
+func TestRewindBeforeAnOutage(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		time.Sleep(time.Minute)
+		d.Platform.Fault("down", 30*time.Second)
+		time.Sleep(40 * time.Second)
+		d.Platform.Fault("rewind", 41*time.Second)
+		time.Sleep(30 * time.Second)
+		for _, n := range d.Nodes {
+			g.Expect(n.Entry().Status().Leader).NotTo(gomega.BeEmpty())
+			g.Expect(n.Entry().Status().Seats).To(gomega.HaveLen(4))
+		}
+	})
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -90,7 +90,7 @@
 		if d <= 0 {
 			d = rewindDefault
 		}
-		p.store.rewind(time.Now().Add(-d))
+		p.store.rewind(time.Now().Add(-d), time.Now())
 		p.age++
 	}
 	p.changed()
--- a/standin/store.go
+++ b/standin/store.go
@@ -26,6 +26,9 @@
 	old   *platform.KV
 }
 
+// revived is the time to live of a lease that a rewind brings back.
+const revived = 10 * time.Second
+
 type lease struct {
 	ttl time.Duration
 	end time.Time
@@ -143,8 +146,18 @@
 	s.rev = rev
 }
 
-// rewind takes back all writes after the given time.
-func (s *store) rewind(to time.Time) {
+// rewind takes back all writes after the given time. Leases that had not ended
+// then live once more.
+func (s *store) rewind(to, now time.Time) {
+	s.takeBack(to)
+	for _, kv := range s.keys {
+		if kv.Lease != 0 && s.leases[kv.Lease] == nil {
+			s.leases[kv.Lease] = &lease{ttl: revived, end: now.Add(revived)}
+		}
+	}
+}
+
+func (s *store) takeBack(to time.Time) {
 	for len(s.log) > 0 {
 		last := s.log[len(s.log)-1]
 		if !last.at.After(to) {
