Rewind before anyone is elected in the test of leases

Cause: TestRewindBeforeAnOutage passed without the change it is for, since leaders elected after the outage kept leading. Change: the rewind comes at the end of the outage. Figures: without the stand-in's change the test now fails, with it it passes. Conclusion: the check can fail.

--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -299,8 +299,9 @@
 	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
 		time.Sleep(time.Minute)
 		d.Platform.Fault("down", 30*time.Second)
-		time.Sleep(40 * time.Second)
-		d.Platform.Fault("rewind", 41*time.Second)
+		time.Sleep(30 * time.Second)
+		// No entry has been elected since the outage.
+		d.Platform.Fault("rewind", 31*time.Second)
 		time.Sleep(30 * time.Second)
 		for _, n := range d.Nodes {
 			g.Expect(n.Entry().Status().Leader).NotTo(gomega.BeEmpty())
