Cause the lost election in the test of leases

Cause: the test still passed without the change it is for: a leader was elected before the rewind. Change: answers are lost between the outage and the rewind, as when it was first seen.

--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -300,8 +300,10 @@
 		time.Sleep(time.Minute)
 		d.Platform.Fault("down", 30*time.Second)
 		time.Sleep(30 * time.Second)
-		// No entry has been elected since the outage.
-		d.Platform.Fault("rewind", 31*time.Second)
+		// While answers are lost no entry is elected.
+		d.Platform.Fault("lost", 10*time.Second)
+		time.Sleep(5 * time.Second)
+		d.Platform.Fault("rewind", 20*time.Second)
 		time.Sleep(30 * time.Second)
 		for _, n := range d.Nodes {
 			g.Expect(n.Entry().Status().Leader).NotTo(gomega.BeEmpty())
