Park slow requests; prove claims through crashes and limits through changes

Cause: 4,832 waiting tasks took 139 MB, mostly the HTTP server's buffers and stacks; crash points, ways of leaving and changes of a limit under faults had no test. Change: after 100 ms a request gives its connection's goroutine back and the task's own goroutine answers. Tests for thirteen crash points of a keyed task, four ways to tell of a leaving VM, and limits that change; BenchmarkUsable.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -16,6 +16,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/danielgtaylor/huma/v2"
@@ -54,18 +56,22 @@
 	MaxBody int64
 }
 
-// handler serves callers.
-type handler struct {
+// Handler serves callers.
+type Handler struct {
 	backend Backend
+	next    http.Handler
+	// parked counts the goroutines of requests, open the requests without an answer.
+	parked sync.WaitGroup
+	open   atomic.Int64
 }
 
 // New returns the handler of the interface.
-func New(c Config) http.Handler {
+func New(c Config) *Handler {
 	problem.Use()
 	if c.MaxBody <= 0 {
 		c.MaxBody = DefaultMaxBody
 	}
-	h := &handler{backend: c.Backend}
+	h := &Handler{backend: c.Backend}
 	mux := http.NewServeMux()
 	config := huma.DefaultConfig("almondcove callers", "1")
 	// The default hook adds a $schema member to every answer.
@@ -73,21 +79,20 @@
 	api := humago.New(mux, config)
 	h.register(api, c.MaxBody)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(c.Backend.Gather(), promhttp.HandlerOpts{}))
-	return h.closing(mux)
+	h.next = mux
+	return h
 }
 
-// closing asks clients to close their connections once the entry is leaving,
-// so that none is cut when it stops listening.
-func (h *handler) closing(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if h.backend.Leaving() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
+// ServeHTTP answers one request. Once the entry is leaving it asks clients to
+// close their connections, so that none is cut when it stops listening.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if h.backend.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	h.next.ServeHTTP(w, r)
 }
 
-func (h *handler) register(api huma.API, maxBody int64) {
+func (h *Handler) register(api huma.API, maxBody int64) {
 	huma.Register(api, huma.Operation{
 		OperationID: "submit-task",
 		Method:      http.MethodPost,
@@ -169,33 +174,35 @@
 }
 
 // submit runs one task.
-func (h *handler) submit(ctx context.Context, in *submission, body []byte) (*huma.StreamResponse, error) {
+func (h *Handler) submit(ctx context.Context, in *submission, body []byte) (*huma.StreamResponse, error) {
 	call, err := h.check(in, body)
 	if err != nil {
 		return nil, err
 	}
-	id, outcome := h.backend.Submit(ctx, call)
-	if p := refusal(id, outcome); p != nil {
-		return nil, p
+	w := h.start(ctx, call)
+	select {
+	case r := <-w.done:
+		w.release()
+		return respond(r)
+	case <-w.slow.C:
+		return &huma.StreamResponse{Body: func(out huma.Context) { h.park(out, w) }}, nil
 	}
-	answer := outcome.(task.Answered)
-	return &huma.StreamResponse{Body: func(out huma.Context) { write(out, id, answer) }}, nil
 }
 
-// passed are the upstream's headers that the caller gets.
-var passed = []string{"Content-Type", "Content-Length", "Content-Digest"}
-
-func write(out huma.Context, id task.ID, answer task.Answered) {
-	out.SetHeader("Task-Id", string(id))
-	out.SetHeader("Task-Vm", answer.VM)
-	for _, name := range passed {
-		if v := answer.Header.Get(name); v != "" {
-			out.SetHeader(name, v)
-		}
+// respond returns the whole answer, or the problem document as an error.
+func respond(r result) (*huma.StreamResponse, error) {
+	if p := refusal(r.id, r.outcome); p != nil {
+		return nil, p
 	}
-	out.SetStatus(answer.Status)
-	// A caller that went away misses its answer; there is nobody to tell.
-	_, _ = out.BodyWriter().Write(answer.Body)
+	return &huma.StreamResponse{Body: func(out huma.Context) {
+		a := answerOf(r)
+		for name, values := range a.header {
+			out.SetHeader(name, values[0])
+		}
+		out.SetStatus(a.status)
+		// A caller that went away misses its answer; there is nobody to tell.
+		_, _ = out.BodyWriter().Write(a.body)
+	}}, nil
 }
 
 type status struct {
@@ -204,13 +211,13 @@
 	}
 }
 
-func (h *handler) health(context.Context, *struct{}) (*status, error) {
+func (h *Handler) health(context.Context, *struct{}) (*status, error) {
 	out := &status{}
 	out.Body.State = "ok"
 	return out, nil
 }
 
-func (h *handler) ready(context.Context, *struct{}) (*status, error) {
+func (h *Handler) ready(context.Context, *struct{}) (*status, error) {
 	switch {
 	case h.backend.Leaving():
 		return nil, problem.New(http.StatusServiceUnavailable, "leaving", "the entry is shutting down")
--- a/demo/upstream_test.go
+++ b/demo/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/demo"
+	"almondcove/entry"
 	"almondcove/standin"
 )
 
@@ -105,11 +107,11 @@
 		var all sync.WaitGroup
 		for i := range 400 {
 			// One entry gets nearly all arrivals.
-			entry := 0
+			to := 0
 			if i%20 == 0 {
-				entry = i / 20 % 4
+				to = i / 20 % 4
 			}
-			all.Go(func() { post(d, entry, d.Access.Slow, nil) })
+			all.Go(func() { post(d, to, d.Access.Slow, nil) })
 		}
 		all.Wait()
 		running, most := 0, 0
@@ -285,3 +287,70 @@
 		}
 	})
 }
+
+// TestLeavingUpstreamGetsNothing tells of a leaving VM in each way there is.
+func TestLeavingUpstreamGetsNothing(t *testing.T) {
+	for name, tell := range map[string]func(g *gomega.WithT, d *demo.Demo){
+		"refusal": func(_ *gomega.WithT, d *demo.Demo) { d.Upstreams[0].Fault("leaving", 0) },
+		"mark": func(g *gomega.WithT, d *demo.Demo) {
+			_, err := change(d, 3, http.MethodPost, "/vms/east-1/leave", nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		},
+		"mark, platform down": func(g *gomega.WithT, d *demo.Demo) {
+			d.Platform.Fault("down", time.Minute)
+			_, err := change(d, 3, http.MethodPost, "/vms/east-1/leave", nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		},
+		"list": func(_ *gomega.WithT, d *demo.Demo) {
+			d.Platform.Put(standin.ListKey(entry.DefaultPrefix, "east", "east-1"),
+				[]byte(`{"centre":"east","address":"`+strings.TrimPrefix(d.Access.Upstreams[0], "http://")+`","slots":8,"state":"leaving"}`))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+				var replies []reply
+				var loading sync.WaitGroup
+				loading.Go(func() { replies = load(d, d.Access.Queue, 10*time.Millisecond, 8*time.Second) })
+				time.Sleep(2 * time.Second)
+				told := time.Now()
+				tell(g, d)
+				loading.Wait()
+				g.Expect(count(replies)).To(gomega.Equal(map[int]int{http.StatusOK: 800}))
+				g.Expect(d.Upstreams[0].Starts()).NotTo(gomega.BeEmpty())
+				for _, s := range d.Upstreams[0].Starts() {
+					g.Expect(s.Time.Sub(told)).To(gomega.BeNumerically("<", 2*time.Second))
+				}
+			})
+		})
+	}
+}
+
+// TestKeyedOnceThroughCrashes kills the entry that has a keyed task at every
+// point of its way, and sends the request again through others.
+func TestKeyedOnceThroughCrashes(t *testing.T) {
+	for after := time.Duration(0); after <= 600*time.Millisecond; after += 50 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+				// Each call to the platform takes 1.5 s, so that crashes fall before,
+				// into and after the claim.
+				d.Platform.Fault("slow", 0)
+				var first sync.WaitGroup
+				first.Go(func() { post(d, 0, d.Access.Slow, []byte("pay"), "Idempotency-Key", "k") })
+				time.Sleep(1250*time.Millisecond + after)
+				d.Nodes[0].Kill()
+				first.Wait()
+				d.Platform.Clear()
+				var answers [][]byte
+				for _, i := range []int{1, 2, 3} {
+					r := post(d, i, d.Access.Slow, []byte("pay"), "Idempotency-Key", "k")
+					g.Expect(r.status).To(gomega.Equal(http.StatusOK), "%s", r.body)
+					answers = append(answers, r.body)
+				}
+				g.Expect(answers[1]).To(gomega.Equal(answers[0]))
+				g.Expect(answers[2]).To(gomega.Equal(answers[0]))
+				begun, _ := starts(d)
+				g.Expect(begun).To(gomega.HaveLen(1))
+			})
+		})
+	}
+}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -299,3 +299,70 @@
 	const slots = siteVMs * siteSlots
 	return used / (14*slots + 10*slots/2)
 }
+
+// BenchmarkUsable sends all tasks of a team through one of four entries, and
+// prints the part of its limit that is in use after 2 s.
+func BenchmarkUsable(b *testing.B) {
+	for _, variant := range []string{"plain", "lent"} {
+		b.Run(variant, func(b *testing.B) {
+			var part float64
+			for b.Loop() {
+				part = usableThroughOne(variant == "lent")
+			}
+			b.ReportMetric(100*part, "usable-%")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// usableThroughOne returns the mean part of a limit of 24 that is in use from
+// 2 s to 30 s. Without loans each entry has its own quarter.
+func usableThroughOne(lend bool) float64 {
+	const units = 24
+	s := newSim()
+	for i := range siteVMs {
+		s.vms[fmt.Sprintf("vm-%d", i)] = &fakeVM{slots: siteSlots}
+	}
+	cores := s.ours(siteConfig(siteVMs, units), "c", siteEntries, false)
+	s.arrivals(0, "large", "large-normal", 0.9*perSecond, 100*time.Millisecond)
+	if lend {
+		s.lend(cores)
+	}
+	s.runUntil(31 * time.Second)
+	used := 0.0
+	for _, v := range s.used["large"][2:30] {
+		used += v
+	}
+	return used / 28 / units
+}
+
+// lend lets the first core borrow from the others every 50 ms, as entries do,
+// and renew what it uses.
+func (s *sim) lend(cores []*dispatch.Core) {
+	const term = 4 * time.Second
+	loans := 0
+	var tick func()
+	tick = func() {
+		book := cores[0].Book()
+		borrow := func(from int, id string, units int) {
+			l := cores[from].Book().Lend(id, "large", "0", units, term, s.now)
+			l.Peer, l.End = fmt.Sprint(from), s.now.Add(term)
+			book.Borrow(l, s.now)
+		}
+		for _, l := range book.Due("large", s.now.Add(term/2), s.now) {
+			var from int
+			_, _ = fmt.Sscan(l.Peer, &from)
+			borrow(from, l.ID, l.Units)
+		}
+		for _, w := range cores[0].Wants(s.now) {
+			for from := 1; from < len(cores); from++ {
+				loans++
+				borrow(from, fmt.Sprint("loan-", loans), w.Units)
+			}
+			cores[0].Wake(w.Team)
+		}
+		cores[0].Next(s.now)
+		s.at(50*time.Millisecond, tick)
+	}
+	s.at(50*time.Millisecond, tick)
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -73,9 +73,18 @@
 	// running holds the tasks that truly run, the oldest first.
 	running []task
 	wire    []message
+	// past holds the limits that were lowered, until what ran or was lent under
+	// them has ended.
+	past []pastLimit
 	next    int
 }
 
+// pastLimit is a limit that may still show until a time.
+type pastLimit struct {
+	units int
+	until time.Time
+}
+
 type task struct {
 	id    limit.Task
 	entry int
@@ -242,17 +251,42 @@
 	})
 }
 
-func (m *machine) check(highest int) {
+// setLimit raises or lowers the limit. Nothing starts under the old one any more,
+// but for borrowers of the units that are lent.
+func (m *machine) setLimit() {
+	m.past = append(m.past, pastLimit{m.limit, m.now.Add(term + run + limit.Margin)})
+	m.limit = rapid.IntRange(0, 30).Draw(m.t, "new limit")
+	m.configure()
+}
+
+func (m *machine) check() {
+	highest := m.limit
+	for _, p := range m.past {
+		if m.now.Before(p.until) {
+			highest = max(highest, p.units)
+		}
+	}
 	if len(m.running) > highest {
 		m.t.Fatalf("%d tasks run under a limit of %d", len(m.running), highest)
 	}
 }
 
 func TestLimitHoldsThroughFaults(t *testing.T) {
+	holdsThroughFaults(t, 11)
+}
+
+func TestLimitHoldsWhileItChanges(t *testing.T) {
+	holdsThroughFaults(t, 12)
+}
+
+// holdsThroughFaults draws events up to the given one.
+func holdsThroughFaults(t *testing.T, last int) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t, rapid.IntRange(1, 4).Draw(t, "entries"), rapid.IntRange(0, 30).Draw(t, "limit"))
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
+			switch rapid.IntRange(0, last).Draw(t, "event") {
+			case 12:
+				m.setLimit()
 			case 0, 1, 2, 3:
 				m.start()
 			case 4:
@@ -272,7 +306,7 @@
 			case 11:
 				m.pass()
 			}
-			m.check(m.limit)
+			m.check()
 		}
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,7 @@
 	linger    time.Duration
 	callers   *server
 	operators *server
+	handler   *caller.Handler
 }
 
 // Start returns a running node, or *network.ListenError.
@@ -78,10 +79,12 @@
 		_ = operators.Close()
 		return nil, err
 	}
+	handler := caller.New(caller.Config{Backend: e, MaxBody: c.MaxBody})
 	return &Node{
 		entry:     e,
 		linger:    c.Linger,
-		callers:   serve(callers, caller.New(caller.Config{Backend: e, MaxBody: c.MaxBody})),
+		handler:   handler,
+		callers:   serve(callers, handler),
 		operators: serve(operators, operator.New(operator.Config{Backend: e, Token: c.Token})),
 	}, nil
 }
@@ -107,6 +110,7 @@
 		timer.Stop()
 	}
 	cut := n.callers.shutdown(ctx)
+	cut = max(cut, n.handler.Wait(ctx))
 	if cut > 0 {
 		n.entry.Cut(cut)
 	}
