--- a/entry/entry.go
+++ b/entry/entry.go
@@ -214,8 +214,8 @@
 	e.note(timeline.Event{Kind: "dead", Note: p.From.Name + " run " + p.From.Run})
 }
 
-// graves returns the runs that are proved to have ended.
-func (e *Entry) graves() map[string]time.Time {
+// ended returns the runs that are proved to have ended.
+func (e *Entry) ended() map[string]time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return maps.Clone(e.dead)
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -163,7 +163,7 @@
 // entry says that it holds it.
 func (s *seats) freeSeats() func(int, limit.Holder) bool {
 	taken := make(map[int]bool)
-	ended := s.entry.graves()
+	ended := s.entry.ended()
 	for _, p := range s.entry.mesh.Peers() {
 		if p.From.Centre != s.entry.config.Self.Centre || !p.Dead.IsZero() {
 			continue
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -76,7 +76,7 @@
 	// past holds the limits that were lowered, until what ran or was lent under
 	// them has ended.
 	past []pastLimit
-	next    int
+	next int
 }
 
 // pastLimit is a limit that may still show until a time.
