Lend spare VMs where demand stands

Cause: queues take turns at several times their mean, and spare VMs stood idle meanwhile. Change: a preset with follow lets each leader lend its data centre's spare VMs, with hysteresis, as moves that shift the targets and remember their home.

--- a/command/verbs.go
+++ b/command/verbs.go
@@ -163,6 +163,7 @@
 			"targets": "VMs for each pool, such as tokens=4,spare=2",
 			"shares":  "shares of teams while it is in force, such as festival=6",
 			"hold":    "true or false: hold deferrable tasks back",
+			"follow":  "true or false: lend spare VMs to pools with more work than slots",
 		}},
 		{group: "key", name: "grant", help: "grant a key to a team; its text is shown only once", args: []string{"team"}, run: func(ctx context.Context, c *call) error {
 			return c.change(ctx, http.MethodPost, "/keys", map[string]string{"team": c.args[0]})
@@ -283,6 +284,7 @@
 	p.numbers("targets", &preset.Targets)
 	p.numbers("shares", &preset.Shares)
 	p.boolean("hold", &preset.Hold)
+	p.boolean("follow", &preset.Follow)
 	if p.err != nil {
 		return p.err
 	}
--- a/demo/roll_test.go
+++ b/demo/roll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -148,3 +149,50 @@
 		g.Expect(err).To(gomega.BeAssignableToTypeOf(&fleet.Conflict{}))
 	})
 }
+
+// TestFollowingDemand floods the queue of a pool with one VM a data centre,
+// once while standing still and once while following, and compares the work.
+func TestFollowingDemand(t *testing.T) {
+	done := make(map[bool]int)
+	for _, follow := range []bool{false, true} {
+		t.Run(strconv.FormatBool(follow), func(t *testing.T) {
+			inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+				for path, in := range map[string]any{
+					"/presets/flow": fleet.Preset{Targets: map[string]int{"tokens": 4, "takings": 2, "spare": 2}, Follow: follow},
+					"/teams/till":   fleet.Team{Share: 2, Limit: 200},
+					"/queues/settle": fleet.Queue{
+						Pool: "takings", Class: fleet.Normal, Teams: []string{"festival"}, Open: true, Owner: "till",
+						Lease: fleet.Duration(5 * time.Second), Wait: fleet.Duration(10 * time.Second), Depth: 5000,
+					},
+					"/teams/festival": fleet.Team{Share: 2, Limit: 200},
+				} {
+					_, err := change(d, 0, http.MethodPut, path, in)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+				}
+				_, err := change(d, 0, http.MethodPost, "/presets/flow/use", nil)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				// 64 tasks of half a second each second need 32 slots, and the pool has 16.
+				for _, r := range load(d, d.Access.Slow, time.Second/64, time.Minute) {
+					if r.status == http.StatusOK {
+						done[follow]++
+					}
+				}
+				lent := 0
+				for _, v := range d.Nodes[0].Entry().Settings().VMs {
+					if v.Home == "spare" {
+						lent++
+					}
+				}
+				g.Expect(lent).To(gomega.Equal(map[bool]int{false: 0, true: 2}[follow]))
+				time.Sleep(6 * time.Minute)
+				for name, v := range d.Nodes[0].Entry().Settings().VMs {
+					g.Expect(v.Home).To(gomega.BeEmpty(), name)
+					g.Expect(v.To).To(gomega.BeEmpty(), name)
+				}
+				g.Expect(d.Nodes[0].Entry().Settings().Head.Shift["takings"]).To(gomega.BeZero())
+			})
+		})
+	}
+	t.Logf("tasks done in a minute: standing still %d, following %d", done[false], done[true])
+	gomega.NewWithT(t).Expect(float64(done[true])).To(gomega.BeNumerically(">", 1.2*float64(done[false])))
+}
--- a/entry/roll.go
+++ b/entry/roll.go
@@ -39,6 +39,7 @@
 	// reported as stuck, since they were taken out.
 	rebooted map[string]bool
 	reported map[string]bool
+	follower roll.Follower
 }
 
 // seen is what a VM last said of itself.
@@ -59,6 +60,7 @@
 	r.since = make(map[string]time.Time)
 	r.rebooted = make(map[string]bool)
 	r.reported = make(map[string]bool)
+	r.follower = roll.Follower{}
 }
 
 // run plans while the entry leads, until ctx ends.
@@ -73,12 +75,61 @@
 			continue
 		}
 		r.observe(ctx, cfg)
-		for _, a := range roll.Plan(r.picture(cfg, time.Now())) {
-			if !r.carryOut(ctx, cfg, a) {
-				break
-			}
+		p := r.picture(cfg, time.Now())
+		if !r.plan(ctx, cfg, p) && cfg.Presets[cfg.Head.Preset].Follow {
+			r.follow(ctx, cfg, p)
+		}
+	}
+}
+
+// plan carries out the plan's steps and reports whether it changed anything.
+func (r *roller) plan(ctx context.Context, cfg *fleet.Config, p roll.Picture) bool {
+	for _, a := range roll.Plan(p) {
+		if !r.carryOut(ctx, cfg, a) {
+			return true
 		}
 	}
+	return false
+}
+
+// follow lends VMs to pools with more work than slots, and takes them back. Such
+// a move shifts the targets, as an operator's does, so that all leaders see it.
+func (r *roller) follow(ctx context.Context, cfg *fleet.Config, p roll.Picture) {
+	for _, a := range r.follower.Follow(p, r.entry.config.Self.Centre, r.entry.loads()) {
+		move := a.(roll.Move)
+		lend := cfg.Pools[cfg.VMs[move.VM].Pool].Spare
+		ch := fleet.VMMove{Name: move.VM, Pool: move.Pool, Down: r.entry.downIn(cfg.VMs[move.VM].Pool), Lend: lend}
+		if err := r.entry.changeAt(ctx, cfg.Head.Rev, ch); err != nil {
+			r.entry.log.Debug("follow", "vm", move.VM, "error", err)
+			return
+		}
+		r.entry.note(timeline.Event{Kind: "vmfollow", VM: move.VM, Note: "to " + move.Pool})
+		// Another move is planned for the revision that this one made.
+		return
+	}
+}
+
+// loads returns what the data centre's entries ask of the pools that have slots
+// there.
+func (e *Entry) loads() []roll.Load {
+	want := make(map[string]int)
+	if own := e.demands.Load(); own != nil {
+		for _, d := range *own {
+			want[d.Pool] += d.Count
+		}
+	}
+	for _, d := range e.othersDemands() {
+		want[d.Pool] += d.Count
+	}
+	var out []roll.Load
+	e.work.read(func(core *dispatch.Core, _ time.Time) {
+		for pool := range core.Config().Pools {
+			if slots := core.Table().Near(pool); slots > 0 {
+				out = append(out, roll.Load{Pool: pool, Want: want[pool], Slots: slots})
+			}
+		}
+	})
+	return out
 }
 
 // observe asks the VMs of the data centre that are out or moving.
@@ -176,6 +227,7 @@
 			Leave: v.Leave || cfg.Centres[v.Centre].Out,
 			Down:  !v.Out && (!ok || l.State != peer.Live || lo.Contains(suspects, name)),
 			Done:  v.Done,
+			Home:  v.Home,
 		})
 	}
 	return p
--- a/fleet/change.go
+++ b/fleet/change.go
@@ -48,6 +48,8 @@
 		Down       int
 		// Planned marks a move towards the targets; others shift them.
 		Planned bool
+		// Lend remembers the VM's pool, so that it can go home.
+		Lend bool
 	}
 	// VMDrain takes a VM out for maintenance, under the same budget.
 	VMDrain struct {
@@ -239,13 +241,16 @@
 		}
 		if ch.Pool == v.Pool {
 			// A move back to the VM's own pool takes an unfinished move back.
-			v.To = ""
+			v.To, v.Home = "", ""
 			break
 		}
 		if err := c.spend(name, v, ch.Down); err != nil {
 			return nil, err
 		}
-		v.To = ch.Pool
+		v.To, v.Home = ch.Pool, ""
+		if ch.Lend {
+			v.Home = v.Pool
+		}
 	case VMDrain:
 		if err := c.spend(name, v, ch.Down); err != nil {
 			return nil, err
@@ -261,6 +266,9 @@
 			return nil, &Conflict{Path: "vm/" + name, Reason: "the VM is not moving"}
 		}
 		v.Pool, v.To = v.To, ""
+		if v.Home == v.Pool {
+			v.Home = ""
+		}
 	case VMLeave:
 		v.Leave, v.Stamp = true, ch.Stamp
 	case VMReturn:
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -102,6 +102,8 @@
 	Targets map[string]int `json:"targets,omitempty"`
 	// Shares replaces the shares of the named teams.
 	Shares map[string]int `json:"shares,omitempty"`
+	// Follow lends spare VMs to pools that have more work than slots.
+	Follow bool `json:"follow,omitempty"`
 	// Hold stops new starts of deferrable tasks.
 	Hold bool `json:"hold,omitempty"`
 }
@@ -120,6 +122,8 @@
 	Pool   string `json:"pool"`
 	// To names the pool that the VM is moving to; it takes no tasks meanwhile.
 	To string `json:"to,omitempty"`
+	// Home is the pool that lent the VM to its present one, if any.
+	Home string `json:"home,omitempty"`
 	// Out marks a VM that is out for maintenance; it takes no tasks meanwhile.
 	Out bool `json:"out,omitempty"`
 	// Boot is the run of the VM's process when it was taken out.
--- a/roll/roll.go
+++ b/roll/roll.go
@@ -62,6 +62,8 @@
 	Pool   string
 	// To is the pool that the VM moves to, if any.
 	To string
+	// Home is the pool that lent the VM to its present one, if any.
+	Home string
 	// Out marks a VM that is out for maintenance.
 	Out bool
 	// Leave marks a VM that operators took out, or whose data centre is out.
--- a/roll/roll_test.go
+++ b/roll/roll_test.go
@@ -199,3 +199,25 @@
 	p.VMs[0].Down = false
 	g.Expect(roll.Forecasts(p, time.Minute)[0].Met).To(gomega.BeTrue())
 }
+
+// TestFollowerWaitsAndGivesBack loads a pool for a while and then leaves it idle.
+func TestFollowerWaitsAndGivesBack(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1_000_000_000, 0)
+	p := roll.Picture{Now: now, Pools: map[string]roll.Pool{"a": {Budget: 1, Target: -1}, "spare": {Spare: true, Target: -1}}}
+	p.VMs = []roll.VM{{Name: "x", Centre: "c", Pool: "a"}, {Name: "y", Centre: "c", Pool: "spare"}, {Name: "z", Centre: "other", Pool: "spare"}}
+	var f roll.Follower
+	step := func(after time.Duration, want int) []roll.Action {
+		p.Now = now.Add(after)
+		return f.Follow(p, "c", []roll.Load{{Pool: "a", Want: want, Slots: 8}})
+	}
+	g.Expect(step(0, 40)).To(gomega.BeEmpty())
+	g.Expect(step(10*time.Second, 4)).To(gomega.BeEmpty(), "a short peak is not followed")
+	g.Expect(step(20*time.Second, 40)).To(gomega.BeEmpty())
+	g.Expect(step(35*time.Second, 40)).To(gomega.Equal([]roll.Action{roll.Move{VM: "y", Pool: "a"}}))
+	p.VMs[1].To = "a"
+	g.Expect(step(60*time.Second, 40)).To(gomega.BeEmpty(), "one VM is on its way")
+	p.VMs[1].Pool, p.VMs[1].To, p.VMs[1].Home = "a", "", "spare"
+	g.Expect(step(2*time.Minute, 1)).To(gomega.BeEmpty())
+	g.Expect(step(4*time.Minute, 1)).To(gomega.Equal([]roll.Action{roll.Move{VM: "y", Pool: "spare"}}))
+}
