--- a/roll/bench_test.go
+++ b/roll/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,25 +24,27 @@
 )
 
 type fleetSize struct {
-	vms, pools int
-	failures   float64 // a day
+	vms, pools, centres int
+	// failures is the number of VMs that fail a day.
+	failures float64
 }
 
 var (
-	siteToday  = fleetSize{vms: 50, pools: 6, failures: 0.4}
-	letterSize = fleetSize{vms: 2300, pools: 287, failures: 17}
+	cooperative = fleetSize{vms: 50, pools: 5, centres: 3, failures: 0.4}
+	brewery     = fleetSize{vms: 50, pools: 5, centres: 4, failures: 0.4}
+	letterSize  = fleetSize{vms: 2300, pools: 287, centres: 22, failures: 17}
 )
 
 func (s fleetSize) picture(now time.Time) roll.Picture {
 	p := roll.Picture{Now: now, Pools: make(map[string]roll.Pool)}
 	for i := range s.pools {
-		p.Pools[fmt.Sprintf("p%03d", i)] = roll.Pool{Budget: 1, Period: 5 * week, Target: -1}
+		p.Pools[poolName(i)] = roll.Pool{Budget: 1, Period: 5 * week, Target: -1}
 	}
 	p.Pools["spare"] = roll.Pool{Spare: true, Budget: 1, Target: -1}
 	for i := range s.vms {
 		p.VMs = append(p.VMs, roll.VM{
-			Name: fmt.Sprintf("vm%04d", i), Centre: fmt.Sprint("c", i%22), Rack: fmt.Sprint("r", i/4),
-			Pool: fmt.Sprintf("p%03d", i%s.pools), Done: now,
+			Name: fmt.Sprintf("vm%04d", i), Centre: fmt.Sprint("c", i%s.centres), Rack: fmt.Sprint("r", i/4),
+			Pool: poolName(i % s.pools), Done: now,
 		})
 	}
 	return p
@@ -144,12 +148,12 @@
 
 // BenchmarkRollout prints how long a wave over the whole fleet takes.
 func BenchmarkRollout(b *testing.B) {
-	for _, s := range []fleetSize{siteToday, letterSize} {
+	for _, s := range []fleetSize{cooperative, brewery, letterSize} {
 		for _, way := range []struct {
 			name string
 			plan planner
 		}{{"ours", ours}, {"first-fit", oneAtATime}} {
-			b.Run(fmt.Sprintf("vms=%d/%s", s.vms, way.name), func(b *testing.B) {
+			b.Run(fmt.Sprintf("vms=%d/centres=%d/%s", s.vms, s.centres, way.name), func(b *testing.B) {
 				var out outcome
 				for b.Loop() {
 					out = simulate(s, way.plan, 20*24*time.Hour, minute, true)
@@ -179,7 +183,7 @@
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{50, 500, 2300} {
 		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
-			s := fleetSize{vms: n, pools: max(n/8, 1)}
+			s := fleetSize{vms: n, pools: max(n/8, 1), centres: 22}
 			p := s.picture(time.Unix(1_000_000_000, 0))
 			for i := range p.VMs {
 				if i%10 == 0 {
@@ -190,7 +194,7 @@
 				}
 			}
 			for i := 0; i < s.pools; i += 10 {
-				name := fmt.Sprintf("p%03d", i)
+				name := poolName(i)
 				pool := p.Pools[name]
 				pool.Target = 9
 				p.Pools[name] = pool
@@ -201,3 +205,88 @@
 		})
 	}
 }
+
+// BenchmarkMoves switches to a preset that gives every tenth pool two more VMs
+// and takes one from two others each, and back, and prints the moves. The
+// baseline gives each pool its number of VMs in the order of their names.
+func BenchmarkMoves(b *testing.B) {
+	for _, s := range []fleetSize{cooperative, brewery, letterSize} {
+		b.Run(fmt.Sprintf("vms=%d/centres=%d", s.vms, s.centres), func(b *testing.B) {
+			var moves, plain int
+			for b.Loop() {
+				w := newWorld(s.picture(time.Unix(1_000_000_000, 0)))
+				usual := w.sizes()
+				peak := maps.Clone(usual)
+				for i := 0; i+2 < s.pools; i += 10 {
+					peak[poolName(i)] += 2
+					peak[poolName(i+1)]--
+					peak[poolName(i+2)]--
+				}
+				moves = w.switchTo(peak) + w.switchTo(usual)
+				plain = w.inOrder(peak, usual) * 2
+			}
+			b.ReportMetric(float64(moves), "moves")
+			b.ReportMetric(float64(plain), "first-fit-moves")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func poolName(i int) string { return fmt.Sprintf("p%03d", i) }
+
+// sizes returns the number of VMs of each pool.
+func (w *world) sizes() map[string]int {
+	out := make(map[string]int)
+	for _, v := range w.p.VMs {
+		out[v.Pool]++
+	}
+	return out
+}
+
+// switchTo carries out plans until the pools have their targets, and returns
+// the number of VMs that were moved.
+func (w *world) switchTo(targets map[string]int) int {
+	for name, p := range w.p.Pools {
+		if n, ok := targets[name]; ok {
+			p.Target = n
+			w.p.Pools[name] = p
+		}
+	}
+	moves := 0
+	for {
+		plan := roll.Plan(w.p)
+		if len(plan) == 0 {
+			return moves
+		}
+		for _, a := range plan {
+			w.apply(a)
+			if _, ok := a.(roll.Move); ok {
+				moves++
+			}
+		}
+		for i := range w.p.VMs {
+			w.p.VMs[i].Idle = w.p.VMs[i].To != ""
+		}
+	}
+}
+
+// inOrder returns how many VMs change pools when both assignments go by name.
+func (w *world) inOrder(a, b map[string]int) int {
+	assign := func(sizes map[string]int) []string {
+		var out []string
+		for _, name := range slices.Sorted(maps.Keys(sizes)) {
+			for range sizes[name] {
+				out = append(out, name)
+			}
+		}
+		return out
+	}
+	changed := 0
+	before, after := assign(a), assign(b)
+	for i := range before {
+		if before[i] != after[i] {
+			changed++
+		}
+	}
+	return changed
+}
