Use the field's words for what had names of our own

Cause: reading as a newcomer: journey, barren, bury and pressed are figures of speech. Conclusion: reads plainer.

--- a/caller/check.go
+++ b/caller/check.go
@@ -84,7 +84,7 @@
 	if out.Status != 0 {
 		detail = "the task failed on " + out.VM + " with status " + strconv.Itoa(out.Status)
 	}
-	if out.Barren {
+	if out.Poison {
 		detail += "; it failed on several VMs and is taken as one that can never run"
 	}
 	return problem.New(http.StatusBadGateway, "failed", detail).Run(problem.Yes)
--- a/demo/upstream_test.go
+++ b/demo/upstream_test.go
@@ -225,8 +225,8 @@
 	})
 }
 
-// TestBarrenTask sends a task to a pool in which every VM fails it.
-func TestBarrenTask(t *testing.T) {
+// TestPoisonTask sends a task to a pool in which every VM fails it.
+func TestPoisonTask(t *testing.T) {
 	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
 		// The retries that one task may use are earned by others.
 		g.Expect(count(load(d, d.Access.Open, 10*time.Millisecond, time.Second))).To(gomega.Equal(map[int]int{http.StatusOK: 100}))
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -72,9 +72,9 @@
 	retries float64
 	// active counts the entry's running tasks by pool, team and class.
 	active map[string]map[demandKey]int
-	// pressed holds the pools that have more work than slots.
-	pressed map[string]press
-	random  *rand.Rand
+	// contended holds the pools that have more work than slots.
+	contended map[string]contention
+	random    *rand.Rand
 	// tries counts the starts.
 	tries limit.Task
 }
@@ -107,9 +107,9 @@
 // VM returns the VM that the task was last given to.
 func (t *Task) VM() string { return t.vm }
 
-// Barren reports whether the task is taken as one that can never run: it
+// Poison reports whether the task is taken as one that can never run: it
 // failed on several VMs, or on one again for want of another.
-func (t *Task) Barren() bool {
+func (t *Task) Poison() bool {
 	return len(t.failed) >= distinctFailures || t.repeated
 }
 
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -9,7 +9,7 @@
 	"almondcove/share"
 )
 
-// overCommit is how many times the slots of a pressed pool are given out, so
+// overCommit is how many times the slots of a contended pool are given out, so
 // that few stay idle between two looks at the demand.
 const overCommit = 1.04
 
@@ -30,13 +30,13 @@
 	rank int
 }
 
-// press is the state of a pool that has more work than slots.
-type press struct {
-	// caps bounds the entry's running tasks while the pool is pressed.
+// contention is the state of a pool that has more work than slots.
+type contention struct {
+	// caps bounds the entry's running tasks while the pool is contended.
 	caps map[demandKey]int
 }
 
-// Demands returns the entry's demand on the pools that are pressed: those in
+// Demands returns the entry's demand on the pools that are contended: those in
 // which its own tasks wait, and those named by others.
 func (c *Core) Demands(named map[string]bool) []Demand {
 	var out []Demand
@@ -76,7 +76,7 @@
 }
 
 // Balance takes the demands of the data centre's other entries and bounds the
-// entry's own starts on pressed pools, so that each team gets its share of the
+// entry's own starts on contended pools, so that each team gets its share of the
 // data centre's slots through all entries together. The demands are hints: a
 // late one costs fairness for a while and nothing else.
 func (c *Core) Balance(others []Demand) {
@@ -91,22 +91,22 @@
 	for _, d := range c.Demands(Named(others)) {
 		own[d.Pool] = append(own[d.Pool], d)
 	}
-	pressed := make(map[string]press)
+	contended := make(map[string]contention)
 	for _, pool := range slices.Sorted(maps.Keys(own)) {
 		mine := own[pool]
-		if p, ok := c.press(pool, mine, byPool[pool]); ok {
-			pressed[pool] = p
+		if p, ok := c.contend(pool, mine, byPool[pool]); ok {
+			contended[pool] = p
 		}
 	}
-	c.pressed = pressed
+	c.contended = contended
 	c.wakeAll()
 }
 
-// press returns the caps for one pool, or false when its slots suffice.
-func (c *Core) press(pool string, mine, others []Demand) (press, bool) {
+// contend returns the caps for one pool, or false when its slots suffice.
+func (c *Core) contend(pool string, mine, others []Demand) (contention, bool) {
 	slots := c.table.Near(pool)
 	if slots == 0 || len(others) == 0 {
-		return press{}, false
+		return contention{}, false
 	}
 	total := make(map[demandKey]int)
 	for _, d := range slices.Concat(mine, others) {
@@ -119,12 +119,12 @@
 		want += n
 	}
 	if want <= slots {
-		return press{}, false
+		return contention{}, false
 	}
 	slices.SortFunc(claims, func(a, b share.Claim) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Team, b.Team))
 	})
-	out := press{caps: make(map[demandKey]int)}
+	out := contention{caps: make(map[demandKey]int)}
 	parts := share.Fill(overCommit*float64(slots), claims)
 	for i, cl := range claims {
 		key := demandKey{cl.Team, cl.Rank}
@@ -157,9 +157,9 @@
 	return int(whole)
 }
 
-// within reports whether the caps of a pressed pool allow one more start.
+// within reports whether the caps of a contended pool allow one more start.
 func (c *Core) within(pool, team string, rank int) bool {
-	p, ok := c.pressed[pool]
+	p, ok := c.contended[pool]
 	if !ok {
 		return true
 	}
--- a/entry/balance.go
+++ b/entry/balance.go
@@ -8,7 +8,7 @@
 	"almondcove/peer"
 )
 
-// balance keeps the entry's starts on pressed pools in proportion to those of
+// balance keeps the entry's starts on contended pools in proportion to those of
 // the data centre's other entries, and tells them its own demands, until ctx ends.
 func (e *Entry) balance(ctx context.Context) {
 	for sleep(ctx, peer.Beat) {
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -38,15 +38,15 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// claimName identifies the journey's task among all claims.
-func (j *journey) claimName() string {
+// claimName identifies the job's task among all claims.
+func (j *job) claimName() string {
 	return j.call.Team + "/" + j.call.Queue + "/" + string(j.id.Base())
 }
 
 // claim binds the idempotency key to the VM before anything is sent to it. It
 // reports true when the task must not be sent, with the outcome or, when it
 // went back into its queue, nil.
-func (j *journey) claim(ctx context.Context, vm string, address netip.AddrPort) (task.Outcome, bool) {
+func (j *job) claim(ctx context.Context, vm string, address netip.AddrPort) (task.Outcome, bool) {
 	mine := claim{
 		Entry:   j.entry.config.Self.Name,
 		ID:      j.id,
@@ -79,26 +79,26 @@
 	return nil, false
 }
 
-func (j *journey) note(kind, vm, note string) {
+func (j *job) note(kind, vm, note string) {
 	j.entry.line.Add(timeline.Event{Kind: kind, Task: string(j.id), VM: vm, Team: j.task.Team, Note: note})
 }
 
 // unclaimed gives the slot back and refuses the task.
-func (j *journey) unclaimed() task.Outcome {
+func (j *job) unclaimed() task.Outcome {
 	j.skip()
 	return j.notRun(task.NotRun{Reason: task.Claimed, Retry: claimRetry})
 }
 
 // skip gives back the slot of a task that is not sent.
-func (j *journey) skip() {
+func (j *job) skip() {
 	j.entry.work.do(func(core *dispatch.Core, now time.Time) {
 		core.Finish(j.task, dispatch.End{Proof: task.Unsent, Load: -1, Skipped: true}, now)
 	})
 }
 
 // follow waits for the answer at the VM that another claim names. When that VM
-// proves that the task never ran there, the journey takes the claim over.
-func (j *journey) follow(ctx context.Context, other claim, at location) task.Outcome {
+// proves that the task never ran there, the job takes the claim over.
+func (j *job) follow(ctx context.Context, other claim, at location) task.Outcome {
 	j.note("follow", other.VM, "claim of "+other.Entry)
 	until := time.Now().Add(dispatch.StartBound + time.Duration(j.queue.Lease) + limit.Margin)
 	inner, cancel := context.WithDeadline(ctx, until)
@@ -123,7 +123,7 @@
 }
 
 // takeOver puts the task back into its queue, to be claimed anew.
-func (j *journey) takeOver(ctx context.Context, at location) task.Outcome {
+func (j *job) takeOver(ctx context.Context, at location) task.Outcome {
 	again := false
 	j.entry.work.do(func(core *dispatch.Core, now time.Time) {
 		again = ctx.Err() == nil && now.Before(j.task.Deadline) && core.Retry(j.task, false)
@@ -138,7 +138,7 @@
 
 // unclaim removes the claim of a task that was not run, so that the caller's
 // next request finds no trace of it.
-func (j *journey) unclaim(outcome task.Outcome) {
+func (j *job) unclaim(outcome task.Outcome) {
 	if _, ok := outcome.(task.NotRun); !ok || j.held.mod == 0 {
 		return
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -62,7 +62,7 @@
 	if c.Wait > 0 {
 		wait = min(wait, c.Wait)
 	}
-	j := &journey{
+	j := &job{
 		entry:  e,
 		call:   c,
 		id:     c.ID,
@@ -86,8 +86,8 @@
 	return j.id, outcome
 }
 
-// journey is one task on its way through the entry.
-type journey struct {
+// job is one task on its way through the entry.
+type job struct {
 	entry  *Entry
 	call   Call
 	id     task.ID
@@ -95,14 +95,14 @@
 	task   *dispatch.Task
 	ready  chan string
 	refuse chan task.NotRun
-	// held is the claim that the journey holds or may take over.
+	// held is the claim that the job holds or may take over.
 	held location
 	// past is what the last try that began showed.
 	past task.Outcome
 }
 
 // run takes the task from admission to its outcome.
-func (j *journey) run(ctx context.Context) task.Outcome {
+func (j *job) run(ctx context.Context) task.Outcome {
 	var refused *task.NotRun
 	j.entry.work.do(func(core *dispatch.Core, now time.Time) {
 		refused = core.Admit(j.task, now)
@@ -136,7 +136,7 @@
 }
 
 // cancel takes the task out of its queue and reports whether it still waited.
-func (j *journey) cancel() bool {
+func (j *job) cancel() bool {
 	waited := false
 	j.entry.work.do(func(core *dispatch.Core, _ time.Time) {
 		waited = core.Cancel(j.task)
@@ -146,7 +146,7 @@
 
 // try sends the task to one VM. It returns nil when the task went back into
 // its queue.
-func (j *journey) try(ctx context.Context, vm string) task.Outcome {
+func (j *job) try(ctx context.Context, vm string) task.Outcome {
 	address, ok := j.entry.list.address(vm)
 	if j.call.Idempotency != "" {
 		if outcome, done := j.claim(ctx, vm, address); done {
@@ -171,7 +171,7 @@
 	return j.finish(ctx, vm, res, end)
 }
 
-func (j *journey) request(now time.Time, vm string) upstream.Request {
+func (j *job) request(now time.Time, vm string) upstream.Request {
 	notAfter := now.Add(dispatch.StartBound)
 	if j.task.Deadline.Before(notAfter) {
 		notAfter = j.task.Deadline
@@ -197,7 +197,7 @@
 }
 
 // converse runs the task on the VM. When the caller goes away the task is stopped.
-func (j *journey) converse(ctx context.Context, vm netip.AddrPort, req upstream.Request, lapse time.Time) upstream.Result {
+func (j *job) converse(ctx context.Context, vm netip.AddrPort, req upstream.Request, lapse time.Time) upstream.Result {
 	inner, cancel := context.WithDeadline(context.WithoutCancel(ctx), lapse)
 	defer cancel()
 	stop := context.AfterFunc(ctx, cancel)
@@ -215,7 +215,7 @@
 }
 
 // finish takes note of a try's end and decides what comes next.
-func (j *journey) finish(ctx context.Context, vm string, res upstream.Result, end dispatch.End) task.Outcome {
+func (j *job) finish(ctx context.Context, vm string, res upstream.Result, end dispatch.End) task.Outcome {
 	if res.Why == upstream.WhyFenced {
 		// The VM never runs the task under this id, but may under another.
 		j.id = j.id.Renew(rand.Text()[:renewalLength])
@@ -243,7 +243,7 @@
 }
 
 // shown returns what one try alone shows, or nil when the VM did not begin the task.
-func (j *journey) shown(vm string, res upstream.Result, end dispatch.End) task.Outcome {
+func (j *job) shown(vm string, res upstream.Result, end dispatch.End) task.Outcome {
 	switch {
 	case res.Proof.Free():
 		return nil
@@ -251,7 +251,7 @@
 		res.Answer.VM = vm
 		return res.Answer
 	case res.Proof == task.Done:
-		return task.Failed{VM: vm, Status: res.Answer.Status, Barren: j.task.Barren()}
+		return task.Failed{VM: vm, Status: res.Answer.Status, Poison: j.task.Poison()}
 	case res.Proof == task.Ended:
 		return task.Failed{VM: vm}
 	}
@@ -259,7 +259,7 @@
 }
 
 // mayRetry reports whether a try that showed this may be followed by another.
-func (j *journey) mayRetry(shown task.Outcome, now time.Time) bool {
+func (j *job) mayRetry(shown task.Outcome, now time.Time) bool {
 	if !now.Before(j.task.Deadline) {
 		return false
 	}
@@ -267,7 +267,7 @@
 	case nil:
 		return true
 	case task.Failed:
-		return j.queue.Idempotent && !out.Barren
+		return j.queue.Idempotent && !out.Poison
 	case task.Unknown:
 		return j.queue.Idempotent
 	}
@@ -276,7 +276,7 @@
 
 // notRun returns the refusal, or what an earlier try showed, since the task
 // may then have run.
-func (j *journey) notRun(why task.NotRun) task.Outcome {
+func (j *job) notRun(why task.NotRun) task.Outcome {
 	if j.past != nil {
 		return j.past
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -223,7 +223,7 @@
 		return
 	}
 	if Refused(err) {
-		m.buried(a)
+		m.markRefused(a)
 	}
 }
 
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -97,7 +97,7 @@
 	Leaving      bool
 	Restrictions []fleet.Restriction
 	List         Position
-	// Demands are the entry's demands on pressed pools; they are told only
+	// Demands are the entry's demands on contended pools; they are told only
 	// within the data centre.
 	Demands []dispatch.Demand
 }
@@ -252,7 +252,7 @@
 	now := time.Now()
 	m.mu.Lock()
 	m.peers[s.From.Run] = &Peer{State: s, Seen: now, near: s.From.Centre == m.config.Self.Centre}
-	died := m.bury(s.From.Address, s.From.Run, now)
+	died := m.markDead(s.From.Address, s.From.Run, now)
 	m.mu.Unlock()
 	for _, p := range died {
 		m.config.Died(p)
@@ -260,9 +260,9 @@
 	m.host.Restrict(s.Restrictions)
 }
 
-// bury marks every run but one that listened on an address as dead, and
+// markDead marks every run but one that listened on an address as dead, and
 // returns them.
-func (m *Mesh) bury(a netip.AddrPort, but string, now time.Time) []Peer {
+func (m *Mesh) markDead(a netip.AddrPort, but string, now time.Time) []Peer {
 	var died []Peer
 	for _, p := range m.peers {
 		if p.From.Address == a && p.From.Run != but && p.Dead.IsZero() {
@@ -273,10 +273,10 @@
 	return died
 }
 
-// buried marks the runs whose address refuses connections as dead.
-func (m *Mesh) buried(a netip.AddrPort) {
+// markRefused marks the runs whose address refuses connections as dead.
+func (m *Mesh) markRefused(a netip.AddrPort) {
 	m.mu.Lock()
-	died := m.bury(a, "", time.Now())
+	died := m.markDead(a, "", time.Now())
 	m.mu.Unlock()
 	for _, p := range died {
 		m.config.Died(p)
--- a/task/task.go
+++ b/task/task.go
@@ -58,9 +58,9 @@
 	VM string
 	// Status is the upstream's last answer, or zero when the task was stopped.
 	Status int
-	// Barren marks a task that failed on several VMs and is taken as one that
+	// Poison marks a task that failed on several VMs and is taken as one that
 	// can never run.
-	Barren bool
+	Poison bool
 }
 
 // NotRun says that no upstream began the task and that none will.
