Test slow and one-way links

Cause: links that are slow or carry one way only had no test; the test of slow links hung, since a pull waited for another under a lock that the paused clock can't see through. Change: the network in memory delays writes and cuts one direction; pulls wait on a channel and give up with their context. Figures: with 100 ms on every write a change is in force everywhere within 18 s and 250 of 250 tasks are answered; an east that is heard by nobody serves 40 of 40 and shows as missing.

--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -311,3 +311,51 @@
 		}
 	})
 }
+
+// TestOneWayLink loses what the east sends, while it still hears the others.
+func TestOneWayLink(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, net *standin.Network) {
+		net.CutOneWay(demo.EastHost, demo.WestHost)
+		net.CutOneWay(demo.EastHost, demo.PlatformHost)
+		time.Sleep(30 * time.Second)
+		r, err := change(d, 2, http.MethodPost, "/presets/peak/use", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.Force.Missing).To(gomega.ConsistOf("east-a", "east-b"))
+		var replies []reply
+		var all sync.WaitGroup
+		for i := range 2 {
+			all.Go(func() {
+				for range 20 {
+					replies = append(replies, post(d, i, d.Access.Queue, nil))
+				}
+			})
+			all.Wait()
+		}
+		g.Expect(count(replies)).To(gomega.Equal(map[int]int{http.StatusOK: 40}))
+		net.Heal()
+		time.Sleep(20 * time.Second)
+		for _, n := range d.Nodes {
+			g.Expect(n.Entry().Settings().Head.Preset).To(gomega.Equal("peak"))
+			g.Expect(n.Entry().Status().Seats).To(gomega.HaveLen(4))
+		}
+	})
+}
+
+// TestSlowLinks puts 100 ms on every write between data centres and to the platform.
+func TestSlowLinks(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, net *standin.Network) {
+		net.Slow(demo.EastHost, demo.WestHost, 100*time.Millisecond)
+		net.Slow(demo.EastHost, demo.PlatformHost, 100*time.Millisecond)
+		net.Slow(demo.WestHost, demo.PlatformHost, 100*time.Millisecond)
+		time.Sleep(time.Minute)
+		begun := time.Now()
+		r, err := change(d, 0, http.MethodPost, "/presets/peak/use", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(r.Force.Everywhere()).To(gomega.BeTrue(), "%v", r.Force)
+		g.Expect(time.Since(begun)).To(gomega.BeNumerically("<", 18*time.Second))
+		g.Expect(count(load(d, d.Access.Queue, 20*time.Millisecond, 5*time.Second))).To(gomega.Equal(map[int]int{http.StatusOK: 250}))
+		for _, n := range d.Nodes {
+			g.Expect(n.Entry().Status().Leader).NotTo(gomega.BeEmpty())
+		}
+	})
+}
--- a/entry/capacity_test.go
+++ b/entry/capacity_test.go
@@ -173,6 +173,8 @@
 	bytes, messages, calls, cpu float64
 	// heap is the memory in use of all entries together with the stand-in.
 	heap float64
+	// config is the size of the configuration's records.
+	config int
 	// changed is what one change costs all nodes together, and took its longest way.
 	changeBytes float64
 	took        time.Duration
@@ -200,6 +202,9 @@
 		time.Sleep(30 * time.Second)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
+		for _, r := range site.entries[0].Records() {
+			out.config += len(r.Key) + len(r.Body)
+		}
 		nodes := float64(len(site.entries))
 		out.heap = float64(after.HeapAlloc-before.HeapAlloc) / nodes
 		const quiet = 60
@@ -225,8 +230,8 @@
 }
 
 func (r row) String() string {
-	return fmt.Sprintf("| %d | %d | %d | %.1f s | %.0f | %.1f | %.2f | %.3f %% | %.1f MB | %.0f | %s |",
-		r.centres, r.centres*r.entries, r.vms, r.start.Seconds(), r.bytes, r.messages, r.calls, 100*r.cpu, r.heap/1e6, r.changeBytes, r.took.Round(time.Millisecond))
+	return fmt.Sprintf("| %d | %d | %d | %.1f s | %.0f | %.1f | %.2f | %.3f %% | %.1f MB | %.0f | %s | %d |",
+		r.centres, r.centres*r.entries, r.vms, r.start.Seconds(), r.bytes, r.messages, r.calls, 100*r.cpu, r.heap/1e6, r.changeBytes, r.took.Round(time.Millisecond), r.config)
 }
 
 // The budgets of control for one node, from the users' letter.
@@ -241,7 +246,7 @@
 		measured = sizes[:min(*capacity, len(sizes))]
 	}
 	var table strings.Builder
-	table.WriteString("| centres | entries | VMs | start | bytes/s a node | messages/s a node | platform calls/s in all | CPU a node | heap a node | bytes a change in all | in force |\n")
+	table.WriteString("| centres | entries | VMs | start | bytes/s a node | messages/s a node | platform calls/s in all | CPU a node | heap a node | bytes a change in all | in force | bytes of configuration |\n")
 	for _, s := range measured {
 		r := s.measure(t)
 		g := gomega.NewWithT(t)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -290,3 +290,6 @@
 
 // Settings returns the configuration in force.
 func (e *Entry) Settings() *fleet.Config { return e.keeper.now() }
+
+// Records returns the records of the configuration held.
+func (e *Entry) Records() []fleet.Record { return e.keeper.held().Records(0) }
--- a/peer/client.go
+++ b/peer/client.go
@@ -172,8 +172,12 @@
 
 // follow pulls from a member that holds something newer.
 func (m *Mesh) follow(ctx context.Context, c *client, theirs State) {
-	m.pulling.Lock()
-	defer m.pulling.Unlock()
+	select {
+	case m.pulling <- struct{}{}:
+		defer func() { <-m.pulling }()
+	case <-ctx.Done():
+		return
+	}
 	own := m.host.State()
 	if theirs.Rev <= own.Rev && !m.wantsList(own, theirs) {
 		return
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -148,8 +148,8 @@
 	peers  map[string]*Peer
 	dialed map[netip.AddrPort]*client
 	round  int
-	// pulling lets one pull run at a time, so that the next sees its result.
-	pulling sync.Mutex
+	// pulling has room for one pull at a time, so that the next sees its result.
+	pulling chan struct{}
 	kick    chan struct{}
 	stop    context.CancelFunc
 	done    sync.WaitGroup
@@ -170,12 +170,13 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	m := &Mesh{
-		config: c,
-		host:   c.Host,
-		peers:  make(map[string]*Peer),
-		dialed: make(map[netip.AddrPort]*client),
-		kick:   make(chan struct{}, 1),
-		stop:   stop,
+		config:  c,
+		host:    c.Host,
+		peers:   make(map[string]*Peer),
+		dialed:  make(map[netip.AddrPort]*client),
+		kick:    make(chan struct{}, 1),
+		pulling: make(chan struct{}, 1),
+		stop:    stop,
 	}
 	m.done.Go(func() { m.run(ctx) })
 	return m
--- a/standin/network.go
+++ b/standin/network.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
 
 	"almondcove/network"
 )
@@ -17,8 +18,10 @@
 	mu        sync.Mutex
 	port      uint16
 	listeners map[netip.AddrPort]*pipeListener
-	// cut holds the pairs of hosts between which nothing passes.
-	cut   map[[2]netip.Addr]bool
+	// cut holds the pairs of hosts between which nothing passes in that direction.
+	cut map[[2]netip.Addr]bool
+	// delay holds how long each write between a pair of hosts takes.
+	delay map[[2]netip.Addr]time.Duration
 	pipes map[*pipe]struct{}
 }
 
@@ -46,6 +49,7 @@
 		n.listeners = make(map[netip.AddrPort]*pipeListener)
 		n.pipes = make(map[*pipe]struct{})
 		n.cut = make(map[[2]netip.Addr]bool)
+		n.delay = make(map[[2]netip.Addr]time.Duration)
 	}
 	if n.listeners[a] != nil {
 		return nil, &network.ListenError{Address: a, Cause: syscall.EADDRINUSE}
@@ -65,7 +69,8 @@
 	n := h.net
 	n.mu.Lock()
 	l := n.listeners[to]
-	isCut := n.cut[[2]netip.Addr{h.host, to.Addr()}]
+	// Opening a connection takes a message each way.
+	isCut := n.cut[[2]netip.Addr{h.host, to.Addr()}] || n.cut[[2]netip.Addr{to.Addr(), h.host}]
 	n.mu.Unlock()
 	if isCut {
 		<-ctx.Done()
@@ -88,67 +93,109 @@
 // Cut stops everything between two hosts, in both directions: open connections
 // go silent and new ones hang. Heal ends it for new connections.
 func (n *Network) Cut(a, b netip.Addr) {
+	n.CutOneWay(a, b)
+	n.CutOneWay(b, a)
+}
+
+// CutOneWay stops everything from one host to another: what open connections
+// carry that way is lost, and new ones hang in both directions.
+func (n *Network) CutOneWay(from, to netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut[[2]netip.Addr{a, b}] = true
-	n.cut[[2]netip.Addr{b, a}] = true
+	n.cut[[2]netip.Addr{from, to}] = true
 	for p := range n.pipes {
-		if p.from == a && p.to.Addr() == b || p.from == b && p.to.Addr() == a {
-			p.kill()
+		if p.from == from && p.to.Addr() == to {
+			p.near.kill()
+		}
+		if p.from == to && p.to.Addr() == from {
+			p.far.kill()
 		}
 	}
 }
 
-// Heal ends all cuts.
+// Slow makes each write between two hosts take a time.
+func (n *Network) Slow(a, b netip.Addr, each time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay[[2]netip.Addr{a, b}] = each
+	n.delay[[2]netip.Addr{b, a}] = each
+}
+
+func (n *Network) delayOf(from, to netip.Addr) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay[[2]netip.Addr{from, to}]
+}
+
+// Heal ends all cuts and delays.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cut)
+	clear(n.delay)
 }
 
 // pipe returns the two ends of a new connection.
 func (n *Network) pipe(from netip.Addr, to netip.AddrPort) (near, far net.Conn) {
 	a, b := net.Pipe()
-	p := &pipe{from: from, to: to, dead: make(chan struct{})}
-	p.forget = func() {
-		n.mu.Lock()
-		delete(n.pipes, p)
-		n.mu.Unlock()
-	}
+	p := &pipe{net: n, from: from, to: to}
+	p.near = &pipeEnd{Conn: a, pipe: p, from: from, to: to.Addr(), dead: make(chan struct{})}
+	p.far = &pipeEnd{Conn: b, pipe: p, from: to.Addr(), to: from, dead: make(chan struct{})}
 	n.mu.Lock()
 	n.pipes[p] = struct{}{}
 	n.mu.Unlock()
-	return &pipeEnd{Conn: a, pipe: p}, &pipeEnd{Conn: b, pipe: p}
+	return p.near, p.far
 }
 
 // pipe is one connection.
 type pipe struct {
-	from   netip.Addr
-	to     netip.AddrPort
-	once   sync.Once
-	dead   chan struct{}
-	forget func()
+	net  *Network
+	from netip.Addr
+	to   netip.AddrPort
+	near *pipeEnd
+	far  *pipeEnd
 }
 
-func (p *pipe) kill() {
-	p.once.Do(func() { close(p.dead) })
+func (p *pipe) forget() {
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	delete(p.net.pipes, p)
 }
 
-// pipeEnd is one end of a connection. On a dead connection writes vanish and
-// reads find nothing until an end is closed.
+// pipeEnd is one end of a connection. Once it is dead, what it writes vanishes,
+// also what has been written and not been read.
 type pipeEnd struct {
 	net.Conn
 	pipe *pipe
+	from netip.Addr
+	to   netip.Addr
+	once sync.Once
+	dead chan struct{}
+}
+
+func (e *pipeEnd) kill() {
+	e.once.Do(func() { close(e.dead) })
+}
+
+// other returns the other end.
+func (e *pipeEnd) other() *pipeEnd {
+	if e == e.pipe.near {
+		return e.pipe.far
+	}
+	return e.pipe.near
 }
 
 func (e *pipeEnd) Read(b []byte) (int, error) {
-	return readUnless(e.pipe.dead, e.Conn, b)
+	return readUnless(e.other().dead, e.Conn, b)
 }
 
 func (e *pipeEnd) Write(b []byte) (int, error) {
-	if closed(e.pipe.dead) {
+	if closed(e.dead) {
 		return len(b), nil
 	}
+	if d := e.pipe.net.delayOf(e.from, e.to); d > 0 {
+		time.Sleep(d)
+	}
 	return e.Conn.Write(b)
 }
 
