Mend the record of seats after a rewind

Cause: after a rewind the record's number was behind what entries had seen, and no seat could be claimed or given up until it had caught up by itself, which it never did. Change: an entry that finds the record behind, or without its own seats, writes in its own, those that others announced last, and marks the rest as lost, which nobody claims.

--- a/demo/cut_test.go
+++ b/demo/cut_test.go
@@ -359,3 +359,37 @@
 		}
 	})
 }
+
+// TestSeatsAfterRewind moves seats to a third entry, takes the platform back to
+// before that, and kills the third.
+func TestSeatsAfterRewind(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		time.Sleep(time.Minute)
+		_, err := d.Add("east-c", "east")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(30 * time.Second)
+		g.Expect(len(d.Nodes[4].Entry().Status().Seats)).To(gomega.BeNumerically(">=", 2))
+		d.Platform.Fault("rewind", 40*time.Second)
+		time.Sleep(time.Second)
+		d.Nodes[4].Kill()
+		for range 90 {
+			time.Sleep(time.Second)
+			g.Expect(seatsOnce(d, 0, 1)).To(gomega.BeTrue())
+		}
+		g.Expect(len(d.Nodes[0].Entry().Status().Seats) + len(d.Nodes[1].Entry().Status().Seats)).To(gomega.Equal(8))
+	})
+}
+
+// seatsOnce reports whether no seat is held by two of the entries.
+func seatsOnce(d *demo.Demo, entries ...int) bool {
+	held := make(map[int]bool)
+	for _, i := range entries {
+		for _, seat := range d.Nodes[i].Entry().Status().Seats {
+			if held[seat] {
+				return false
+			}
+			held[seat] = true
+		}
+	}
+	return true
+}
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -125,14 +126,13 @@
 	if err != nil {
 		return false
 	}
+	if !s.recorded(roll) {
+		s.mend(ctx, kv, roll, roll.Seq)
+		return true
+	}
 	s.meet(roll)
 	free := s.freeSeats()
-	me := limit.Holder{
-		Run:     s.entry.config.Self.Run,
-		Name:    s.entry.config.Self.Name,
-		Address: s.entry.config.Self.Address.String(),
-	}
-	next, taken := roll.Claim(me, max(want, 0), free)
+	next, taken := roll.Claim(s.me(), max(want, 0), free)
 	if len(taken) == 0 {
 		return false
 	}
@@ -249,8 +249,13 @@
 	return ok
 }
 
-// read returns the roll. One that is older than what was seen, or that says
-// the entry holds seats it doesn't know, is not used.
+func (s *seats) me() limit.Holder {
+	self := s.entry.config.Self
+	return limit.Holder{Run: self.Run, Name: self.Name, Address: self.Address.String()}
+}
+
+// read returns the roll. One that is older than what was seen, since the
+// platform lost history, is mended and not used this time.
 func (s *seats) read(ctx context.Context) (platform.KV, limit.Roll, error) {
 	kv, err := s.entry.platform.Get(ctx, s.key())
 	if err != nil {
@@ -263,16 +268,49 @@
 		}
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if roll.Seq < s.seq {
-		s.entry.metrics.raise("seats", true)
-		return kv, roll, &Rewound{Held: s.seq, Platform: roll.Seq}
+	seen := s.seq
+	s.seq = max(s.seq, roll.Seq)
+	s.mu.Unlock()
+	s.entry.metrics.raise("seats", roll.Seq < seen)
+	if roll.Seq < seen {
+		s.mend(ctx, kv, roll, seen)
+		return kv, roll, &Rewound{Held: seen, Platform: roll.Seq}
 	}
-	s.entry.metrics.raise("seats", false)
-	s.seq = roll.Seq
 	return kv, roll, nil
 }
 
+// mend writes what the entry knows into a roll that lost history.
+func (s *seats) mend(ctx context.Context, kv platform.KV, roll limit.Roll, seen uint64) {
+	own := s.held()
+	if s.write(ctx, kv, roll.Mend(s.me(), own, s.announced(), seen)) {
+		s.entry.note(timeline.Event{Kind: "mend", Note: strconv.Itoa(len(own)) + " seats"})
+	}
+}
+
+// announced returns who in the data centre last said that it holds each seat.
+func (s *seats) announced() map[int]limit.Holder {
+	out := make(map[int]limit.Holder)
+	now := time.Now()
+	for _, live := range []bool{false, true} {
+		for _, p := range s.entry.mesh.Peers() {
+			if p.From.Centre != s.entry.config.Self.Centre || p.Live(now) != live {
+				continue
+			}
+			for _, seat := range p.Seats {
+				out[seat] = limit.Holder{Run: p.From.Run, Name: p.From.Name, Address: p.From.Address.String()}
+			}
+		}
+	}
+	return out
+}
+
+// recorded reports whether the roll says that the entry holds its seats.
+func (s *seats) recorded(roll limit.Roll) bool {
+	held := s.held()
+	slices.Sort(held)
+	return slices.Equal(roll.Held(s.entry.config.Self.Run), held)
+}
+
 // write stores the roll if it is still as it was read. After a lost answer the
 // record itself says whether the write took effect.
 func (s *seats) write(ctx context.Context, kv platform.KV, next limit.Roll) bool {
--- a/limit/roll.go
+++ b/limit/roll.go
@@ -56,6 +56,31 @@
 	return r
 }
 
+// lost stands for a holder that a platform without its latest history can't
+// name. It never ends, so that its seat is claimed only after the true holder
+// has written itself in and given the seat up.
+const lost = "lost"
+
+// Mend returns the roll of a platform that lost history, as far as one entry
+// can tell: its own seats are its own, others' are those that they announced
+// last, and what the roll says is vacant, or the entry's without being so, may
+// be anyone's. Seq is the highest position seen.
+func (r Roll) Mend(me Holder, own []int, others map[int]Holder, seq uint64) Roll {
+	for i, by := range r.Seats {
+		other, announced := others[i]
+		switch {
+		case slices.Contains(own, i):
+			r.Seats[i] = me
+		case announced:
+			r.Seats[i] = other
+		case by.Run == "" || by.Run == me.Run:
+			r.Seats[i] = Holder{Run: lost}
+		}
+	}
+	r.Seq = seq + 1
+	return r
+}
+
 // Fair returns how many seats an entry should hold at least and at most among
 // n live entries.
 func Fair(n int) (least, most int) {
