Look at the VM again after a claim; wait for tasks on their way

Cause: reading the change once more: a keyed task was sent to the VM chosen before its claim was written, also when that VM or its data centre had been taken out meanwhile; a VM was taken as idle as soon as all entries knew, although a task sent just before could still be on its way. Change: the VM is looked at again after the claim, and the task goes elsewhere; a VM counts as idle no sooner than two bounds of a start after it was taken out. Loans are credited in one place, and the core's usage shows what it does.

--- a/demo/upstream_test.go
+++ b/demo/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -354,3 +355,28 @@
 		})
 	}
 }
+
+// TestCentreOutDuringClaim takes a data centre out while claims of keyed tasks
+// are on their way to a slow platform.
+func TestCentreOutDuringClaim(t *testing.T) {
+	inMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
+		d.Platform.Fault("slow", 0)
+		var all sync.WaitGroup
+		for i := range 20 {
+			all.Go(func() {
+				r := post(d, i%2, d.Access.Queue, nil, "Idempotency-Key", strconv.Itoa(i))
+				g.Expect(r.status).To(gomega.Equal(http.StatusOK), "%s", r.body)
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		out := time.Now()
+		_, err := change(d, 3, http.MethodPost, "/centres/east/out", nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		all.Wait()
+		begun, _ := starts(d)
+		g.Expect(begun).To(gomega.HaveLen(20))
+		for _, s := range begun {
+			g.Expect(s.VM[:4] == "east" && s.Time.Sub(out) > time.Second).To(gomega.BeFalse(), "%s %v", s.VM, s.Time.Sub(out))
+		}
+	})
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -9,9 +9,8 @@
 //	if refused := core.Admit(t, now); refused != nil {
 //		return refused
 //	}
-//	for _, started := range core.Next(now) {
-//		// send started.Task to started.VM, then core.Finish
-//	}
+//	core.Next(now) // calls t.Ready with the VM once t may be sent
+//	core.Finish(t, dispatch.End{Proof: task.Done, Good: true, Load: -1}, now)
 //
 // The package does no input or output and reads no clock. A core is not safe
 // for concurrent use.
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -124,6 +124,24 @@
 
 // takeOver puts the task back into its queue, to be claimed anew.
 func (j *job) takeOver(ctx context.Context, at location) task.Outcome {
+	outcome := j.requeue(ctx)
+	if outcome == nil {
+		j.held = at
+		j.id = j.id.Renew(rand.Text()[:renewalLength])
+	}
+	return outcome
+}
+
+// sendElsewhere gives the slot of a task that was not sent back and puts it
+// into its queue again.
+func (j *job) sendElsewhere(ctx context.Context) task.Outcome {
+	j.skip()
+	return j.requeue(ctx)
+}
+
+// requeue puts a task that runs nowhere back into its queue and returns nil, or
+// what the caller is told when it is too late for that.
+func (j *job) requeue(ctx context.Context) task.Outcome {
 	again := false
 	j.entry.work.do(func(core *dispatch.Core, now time.Time) {
 		again = ctx.Err() == nil && now.Before(j.task.Deadline) && core.Retry(j.task, false)
@@ -131,8 +149,6 @@
 	if !again {
 		return j.notRun(task.NotRun{Reason: task.Deadline, Retry: time.Second})
 	}
-	j.held = at
-	j.id = j.id.Renew(rand.Text()[:renewalLength])
 	return nil
 }
 
--- a/entry/lend.go
+++ b/entry/lend.go
@@ -93,16 +93,11 @@
 		e.giveBack(ctx, p.From.Address, asks)
 		return nil
 	}
+	e.credit(p, grants, sent)
 	got := make(map[string]int)
-	e.work.do(func(core *dispatch.Core, now time.Time) {
-		for _, g := range grants {
-			core.Book().Borrow(limit.Loan{
-				ID: g.ID, Team: g.Team, Peer: p.From.Name, Units: g.Units, End: sent.Add(loanTerm),
-			}, now)
-			core.Wake(g.Team)
-			got[g.Team] += g.Units
-		}
-	})
+	for _, g := range grants {
+		got[g.Team] += g.Units
+	}
 	for team, n := range got {
 		e.line.Add(timeline.Event{Kind: "borrow", Team: team, Note: itoa(uint64(n)) + " from " + p.From.Name})
 	}
@@ -148,11 +143,17 @@
 	if err != nil {
 		return
 	}
+	e.credit(p, grants, sent)
+}
+
+// credit takes over what a lender granted to a request sent at that time.
+func (e *Entry) credit(p peer.Peer, grants []peer.Ask, sent time.Time) {
 	e.work.do(func(core *dispatch.Core, now time.Time) {
 		for _, g := range grants {
 			core.Book().Borrow(limit.Loan{
 				ID: g.ID, Team: g.Team, Peer: p.From.Name, Units: g.Units, End: sent.Add(loanTerm),
 			}, now)
+			core.Wake(g.Team)
 		}
 	})
 }
--- a/entry/roll.go
+++ b/entry/roll.go
@@ -180,7 +180,9 @@
 			continue
 		}
 		v.Fresh = v.Out && u.ok && r.rebooted[v.Name] && u.boot != cfg.VMs[v.Name].Boot
-		quiet := everywhere || now.Sub(r.since[v.Name]) > staleTime
+		since := now.Sub(r.since[v.Name])
+		// A task that was sent just before may still be on its way.
+		quiet := everywhere && since > 2*dispatch.StartBound || since > staleTime
 		v.Idle = u.ok && u.running == 0 && quiet && !r.rebooted[v.Name]
 		p.VMs[i] = v
 		r.report(v, now)
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -152,6 +152,10 @@
 		if outcome, done := j.claim(ctx, vm, address); done {
 			return outcome
 		}
+		if !j.serves(vm) {
+			// The VM or its data centre was taken out while the claim was written.
+			return j.sendElsewhere(ctx)
+		}
 	}
 	req := j.request(time.Now(), vm)
 	lapse := req.NotAfter.Add(req.Lease + limit.Margin)
@@ -171,6 +175,13 @@
 	return j.finish(ctx, vm, res, end)
 }
 
+// serves reports whether the VM may still take the task that was given to it.
+func (j *job) serves(vm string) bool {
+	ok := false
+	j.entry.work.read(func(core *dispatch.Core, _ time.Time) { ok = core.Table().Serves(vm) })
+	return ok
+}
+
 func (j *job) request(now time.Time, vm string) upstream.Request {
 	notAfter := now.Add(dispatch.StartBound)
 	if j.task.Deadline.Before(notAfter) {
