Write a restored configuration like any change; derive that a VM is fresh

Cause: reading the change once more: config restore had its own copy of the commit, with a guess at whether it took effect; a new leader rebooted a VM again that the last one had rebooted, since it asked its own memory instead of the record. Change: one function commits records under a guard; a VM is fresh when it answers under another run than the one recorded when it was taken out. Conclusion: less state, one path.

--- a/entry/change.go
+++ b/entry/change.go
@@ -148,6 +148,12 @@
 	if err != nil {
 		return err
 	}
+	return e.commitUnder(ctx, guard, next, records)
+}
+
+// commitUnder writes the records of next if the guard holds. A guard that does
+// not gives *raced.
+func (e *Entry) commitUnder(ctx context.Context, guard platform.Compare, next *fleet.Config, records []fleet.Record) error {
 	txn := platform.TxnRequest{Compare: []platform.Compare{guard}}
 	for _, r := range records {
 		value, err := json.Marshal(r)
@@ -270,23 +276,12 @@
 	}
 	records := held.Records(0)
 	records[len(records)-1] = head
-	txn := platform.TxnRequest{Compare: []platform.Compare{platform.Unchanged(kv)}}
-	for _, r := range records {
-		value, err := json.Marshal(r)
-		if err != nil {
-			return Recorded{}, &NotRecorded{Cause: err}
-		}
-		txn.Success = append(txn.Success, platform.Put(e.confKey(r.Key), value))
+	err = e.commitUnder(ctx, platform.Unchanged(kv), next, records)
+	if _, ok := errors.Into[*raced](err); ok {
+		err = &NotRecorded{Cause: err}
 	}
-	done, err := e.platform.Commit(ctx, txn)
-	if _, ok := errors.Into[*platform.Uncertain](err); ok {
-		err = e.resolve(ctx, next.Head, err)
-	}
-	switch {
-	case err != nil:
+	if err != nil {
 		return Recorded{}, err
-	case !done.Succeeded && done.Header.Revision > 0:
-		return Recorded{}, &NotRecorded{Cause: &raced{}}
 	}
 	if e.keeper.adopt(next) {
 		e.inForce("restore")
--- a/entry/roll.go
+++ b/entry/roll.go
@@ -179,7 +179,7 @@
 		if !ok {
 			continue
 		}
-		v.Fresh = v.Out && u.ok && r.rebooted[v.Name] && u.boot != cfg.VMs[v.Name].Boot
+		v.Fresh = v.Out && u.ok && u.boot != cfg.VMs[v.Name].Boot
 		since := now.Sub(r.since[v.Name])
 		// A task that was sent just before may still be on its way.
 		quiet := everywhere && since > 2*dispatch.StartBound || since > staleTime
