Ask a VM for its run before the first claim on it

Change: a VM that has not answered yet is asked for its usage, which names its run, before the claim is written.

--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -52,7 +52,7 @@
 		ID:      j.id,
 		VM:      vm,
 		Address: address,
-		Boot:    j.entry.upstream.Boot(address),
+		Boot:    j.entry.upstream.Boot(ctx, address),
 		Body:    digestOf(j.call.Body),
 		Nonce:   rand.Text(),
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -304,11 +304,19 @@
 	return out, err == nil && res.StatusCode == http.StatusOK
 }
 
-// Boot returns the run of the VM's process that answered last, or "".
-func (c *Client) Boot(vm netip.AddrPort) string {
-	boot, _ := c.boots.Load(vm)
-	text, _ := boot.(string)
-	return text
+// Boot returns the run of the VM's process that answered last. A VM that has
+// not answered yet is asked; "" means that it gives no answer.
+func (c *Client) Boot(ctx context.Context, vm netip.AddrPort) string {
+	if boot, ok := c.boots.Load(vm); ok {
+		return boot.(string)
+	}
+	use, ok := c.Usage(ctx, vm)
+	if !ok {
+		return ""
+	}
+	// An answer about a task that came meanwhile is as good.
+	boot, _ := c.boots.LoadOrStore(vm, use.Boot)
+	return boot.(string)
 }
 
 // Stop ends the task and reports whether its end is proved.
