--- a/command/command.go
+++ b/command/command.go
@@ -112,7 +112,7 @@
 		}
 	}
 	var settle []func()
-	for _, add := range []func(*flaggy.Parser) (*flaggy.Subcommand, runner){addServe, addCheck, addStandin, addDemo} {
+	for _, add := range []func(*flaggy.Parser) (*flaggy.Subcommand, runner){addServe, addPlatform, addCheck, addStandin, addDemo} {
 		sub, run := add(parser)
 		settle = append(settle, choose(sub, run))
 	}
--- a/command/serve.go
+++ b/command/serve.go
@@ -14,7 +14,7 @@
 	"almondcove/network"
 	"almondcove/node"
 	"almondcove/peer"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/settings"
 	"almondcove/standin"
 )
@@ -158,7 +158,7 @@
 	var registering sync.WaitGroup
 	defer registering.Wait()
 	defer cancel()
-	client := platform.New(platform.Config{URLs: []string{s.Platform}})
+	client := etcd.New(etcd.Config{URLs: []string{s.Platform}})
 	for _, u := range s.Upstreams {
 		r, err := standin.Serve(network.TCP{}, u.Listen, standin.NewUpstream(standin.UpstreamConfig{
 			VM: u.VM, Centre: u.Centre, Slots: u.Slots, Runs: u.Runs,
--- a/entry/change.go
+++ b/entry/change.go
@@ -10,7 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"almondcove/fleet"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/timeline"
 )
 
@@ -153,14 +153,14 @@
 
 // commitUnder writes the records of next if the guard holds. A guard that does
 // not gives *raced.
-func (e *Entry) commitUnder(ctx context.Context, guard platform.Compare, next *fleet.Config, records []fleet.Record) error {
-	txn := platform.TxnRequest{Compare: []platform.Compare{guard}}
+func (e *Entry) commitUnder(ctx context.Context, guard etcd.Compare, next *fleet.Config, records []fleet.Record) error {
+	txn := etcd.TxnRequest{Compare: []etcd.Compare{guard}}
 	for _, r := range records {
 		value, err := json.Marshal(r)
 		if err != nil {
 			return &NotRecorded{Cause: err}
 		}
-		txn.Success = append(txn.Success, platform.Put(e.confKey(r.Key), value))
+		txn.Success = append(txn.Success, etcd.Put(e.confKey(r.Key), value))
 	}
 	done, err := e.platform.Commit(ctx, txn)
 	if err == nil {
@@ -169,24 +169,24 @@
 		}
 		return nil
 	}
-	if _, ok := errors.Into[*platform.Uncertain](err); ok {
+	if _, ok := errors.Into[*etcd.Uncertain](err); ok {
 		return e.resolve(ctx, next.Head, err)
 	}
 	return &NotRecorded{Cause: err}
 }
 
 // guard is the condition that the platform holds the head of held.
-func (e *Entry) guard(held *fleet.Config) (platform.Compare, error) {
+func (e *Entry) guard(held *fleet.Config) (etcd.Compare, error) {
 	head := e.confKey(fleet.HeadKey)
 	if held.Head.Rev == 0 {
-		return platform.Absent(head), nil
+		return etcd.Absent(head), nil
 	}
 	records := held.Records(held.Head.Rev - 1)
 	value, err := json.Marshal(records[len(records)-1])
 	if err != nil {
-		return platform.Compare{}, &NotRecorded{Cause: err}
+		return etcd.Compare{}, &NotRecorded{Cause: err}
 	}
-	return platform.Holds(head, value), nil
+	return etcd.Holds(head, value), nil
 }
 
 // resolve finds out whether a write took effect whose answer was lost.
@@ -204,7 +204,7 @@
 	}
 }
 
-func (e *Entry) judge(kv platform.KV, wrote fleet.Head, cause error) error {
+func (e *Entry) judge(kv etcd.KV, wrote fleet.Head, cause error) error {
 	if kv.Mod == 0 {
 		return &NotRecorded{Cause: cause}
 	}
@@ -276,7 +276,7 @@
 	}
 	records := held.Records(0)
 	records[len(records)-1] = head
-	err = e.commitUnder(ctx, platform.Unchanged(kv), next, records)
+	err = e.commitUnder(ctx, etcd.Unchanged(kv), next, records)
 	if _, ok := errors.Into[*raced](err); ok {
 		err = &NotRecorded{Cause: err}
 	}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -9,7 +9,7 @@
 
 	"github.com/go-faster/errors"
 
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/task"
 )
 
@@ -127,9 +127,9 @@
 
 // write runs one transaction for the batch and answers every ask.
 func (c *claims) write(ctx context.Context, batch []*claimAsk) {
-	var txn platform.TxnRequest
+	var txn etcd.TxnRequest
 	for _, a := range batch {
-		txn.Success = append(txn.Success, platform.Op{Txn: c.txn(a)})
+		txn.Success = append(txn.Success, etcd.Op{Txn: c.txn(a)})
 	}
 	done, err := c.entry.platform.Commit(ctx, txn)
 	if err == nil && len(done.Responses) == len(batch) {
@@ -138,7 +138,7 @@
 		}
 		return
 	}
-	if _, ok := errors.Into[*platform.Uncertain](err); ok {
+	if _, ok := errors.Into[*etcd.Uncertain](err); ok {
 		c.resolve(ctx, batch, err)
 		return
 	}
@@ -153,21 +153,21 @@
 
 // txn is the transaction that writes one claim: in place of the one held, or
 // as a new one when no generation in use has it.
-func (c *claims) txn(a *claimAsk) *platform.TxnRequest {
+func (c *claims) txn(a *claimAsk) *etcd.TxnRequest {
 	if a.held.mod != 0 {
-		return &platform.TxnRequest{
-			Compare: []platform.Compare{platform.Unchanged(platform.KV{Key: []byte(a.held.key), Mod: a.held.mod})},
-			Success: []platform.Op{platform.Put(a.held.key, a.value)},
-			Failure: []platform.Op{platform.Read(a.held.key)},
+		return &etcd.TxnRequest{
+			Compare: []etcd.Compare{etcd.Unchanged(etcd.KV{Key: []byte(a.held.key), Mod: a.held.mod})},
+			Success: []etcd.Op{etcd.Put(a.held.key, a.value)},
+			Failure: []etcd.Op{etcd.Read(a.held.key)},
 		}
 	}
-	t := &platform.TxnRequest{}
+	t := &etcd.TxnRequest{}
 	now := time.Now()
 	for _, key := range c.keys(a.name, now) {
-		t.Compare = append(t.Compare, platform.Absent(key))
-		t.Failure = append(t.Failure, platform.Read(key))
+		t.Compare = append(t.Compare, etcd.Absent(key))
+		t.Failure = append(t.Failure, etcd.Read(key))
 	}
-	t.Success = []platform.Op{platform.Put(c.key(generation(now), a.name), a.value)}
+	t.Success = []etcd.Op{etcd.Put(c.key(generation(now), a.name), a.value)}
 	return t
 }
 
@@ -189,8 +189,8 @@
 
 // expire deletes the generations that nobody looks at any more.
 func (c *claims) expire(ctx context.Context) error {
-	_, err := c.entry.platform.Commit(ctx, platform.TxnRequest{Success: []platform.Op{{
-		Delete: &platform.DeleteRequest{
+	_, err := c.entry.platform.Commit(ctx, etcd.TxnRequest{Success: []etcd.Op{{
+		Delete: &etcd.DeleteRequest{
 			Key: []byte(c.entry.config.Prefix + "claim/"),
 			End: []byte(c.key(generation(time.Now())-2, "")),
 		},
@@ -198,7 +198,7 @@
 	return err
 }
 
-func replyOf(sent *platform.TxnRequest, r *platform.TxnResponse, rev int64) claimReply {
+func replyOf(sent *etcd.TxnRequest, r *etcd.TxnResponse, rev int64) claimReply {
 	if r == nil {
 		return claimReply{err: &NotRecorded{Cause: &raced{}}}
 	}
@@ -209,7 +209,7 @@
 }
 
 // firstStanding returns the reply for the first claim among the ranges read.
-func firstStanding(rs []platform.OpResponse, cause error) claimReply {
+func firstStanding(rs []etcd.OpResponse, cause error) claimReply {
 	for _, r := range rs {
 		if r.Range != nil && len(r.Range.KVs) > 0 {
 			return standing(r.Range.KVs[0])
@@ -219,7 +219,7 @@
 }
 
 // standing returns the reply for a claim that another wrote.
-func standing(kv platform.KV) claimReply {
+func standing(kv etcd.KV) claimReply {
 	var other claim
 	if err := json.Unmarshal(kv.Value, &other); err != nil {
 		return claimReply{err: &NotRecorded{Cause: err}}
@@ -231,9 +231,9 @@
 func (c *claims) resolve(ctx context.Context, batch []*claimAsk, cause error) {
 	ctx, cancel := context.WithTimeout(ctx, claimDoubt)
 	defer cancel()
-	var txn platform.TxnRequest
+	var txn etcd.TxnRequest
 	for _, a := range batch {
-		txn.Success = append(txn.Success, platform.Op{Txn: c.look(a)})
+		txn.Success = append(txn.Success, etcd.Op{Txn: c.look(a)})
 	}
 	for {
 		done, err := c.entry.platform.Commit(ctx, txn)
@@ -251,16 +251,16 @@
 }
 
 // look reads the claim that an ask may have written.
-func (c *claims) look(a *claimAsk) *platform.TxnRequest {
-	t := &platform.TxnRequest{}
+func (c *claims) look(a *claimAsk) *etcd.TxnRequest {
+	t := &etcd.TxnRequest{}
 	for _, key := range c.keys(a.name, time.Now()) {
-		t.Success = append(t.Success, platform.Read(key))
+		t.Success = append(t.Success, etcd.Read(key))
 	}
 	return t
 }
 
 // found says what a claim's record shows after a lost answer.
-func found(a *claimAsk, r *platform.TxnResponse, cause error) claimReply {
+func found(a *claimAsk, r *etcd.TxnResponse, cause error) claimReply {
 	if r == nil {
 		return claimReply{err: &Doubtful{Cause: cause}}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,7 +38,7 @@
 	"almondcove/fleet"
 	"almondcove/network"
 	"almondcove/peer"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/timeline"
 	"almondcove/upstream"
 )
@@ -76,7 +76,7 @@
 	keeper   *keeper
 	list     *list
 	work     *dispatcher
-	platform *platform.Client
+	platform *etcd.Client
 	upstream *upstream.Client
 	mesh     *peer.Mesh
 	server   *grpc.Server
@@ -124,7 +124,7 @@
 	e.keeper = do.MustInvoke[*keeper](e.injector)
 	e.list = do.MustInvoke[*list](e.injector)
 	e.work = do.MustInvoke[*dispatcher](e.injector)
-	e.platform = do.MustInvoke[*platform.Client](e.injector)
+	e.platform = do.MustInvoke[*etcd.Client](e.injector)
 	e.upstream = do.MustInvoke[*upstream.Client](e.injector)
 	e.claims = do.MustInvoke[*claims](e.injector)
 	e.seats = do.MustInvoke[*seats](e.injector)
@@ -152,9 +152,9 @@
 	do.Provide(e.injector, func(do.Injector) (*dispatcher, error) {
 		return newDispatcher(c.Self.Centre, seed()), nil
 	})
-	do.Provide(e.injector, func(i do.Injector) (*platform.Client, error) {
+	do.Provide(e.injector, func(i do.Injector) (*etcd.Client, error) {
 		m := do.MustInvoke[*metrics](i)
-		return platform.New(platform.Config{URLs: c.Platform, Called: m.platformCall, Dial: c.Network.DialContext}), nil
+		return etcd.New(etcd.Config{URLs: c.Platform, Called: m.platformCall, Dial: c.Network.DialContext}), nil
 	})
 	do.Provide(e.injector, func(do.Injector) (*upstream.Client, error) {
 		return upstream.New(upstream.Config{Silence: c.Silence, Dial: c.Network.DialContext}), nil
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -14,7 +14,7 @@
 
 	"almondcove/dispatch"
 	"almondcove/limit"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/task"
 	"almondcove/timeline"
 	"almondcove/upstream"
@@ -163,9 +163,9 @@
 		ctx, cancel := context.WithTimeout(context.Background(), claimDoubt)
 		defer cancel()
 		// A claim that stays is taken over by the next request with its key.
-		_, _ = j.entry.platform.Commit(ctx, platform.TxnRequest{
-			Compare: []platform.Compare{platform.Unchanged(platform.KV{Key: []byte(at.key), Mod: at.mod})},
-			Success: []platform.Op{platform.Remove(at.key)},
+		_, _ = j.entry.platform.Commit(ctx, etcd.TxnRequest{
+			Compare: []etcd.Compare{etcd.Unchanged(etcd.KV{Key: []byte(at.key), Mod: at.mod})},
+			Success: []etcd.Op{etcd.Remove(at.key)},
 		})
 	})
 }
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -9,7 +9,7 @@
 
 	"almondcove/fleet"
 	"almondcove/peer"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/timeline"
 )
 
@@ -80,9 +80,9 @@
 	if err != nil {
 		return false
 	}
-	done, err := l.entry.platform.Commit(ctx, platform.TxnRequest{
-		Compare: []platform.Compare{platform.Absent(l.key())},
-		Success: []platform.Op{platform.PutLeased(l.key(), []byte(l.entry.config.Self.Name), lease)},
+	done, err := l.entry.platform.Commit(ctx, etcd.TxnRequest{
+		Compare: []etcd.Compare{etcd.Absent(l.key())},
+		Success: []etcd.Op{etcd.PutLeased(l.key(), []byte(l.entry.config.Self.Name), lease)},
 	})
 	if err != nil || !done.Succeeded {
 		// Whatever was written ends with the lease, at the latest by time.
@@ -148,7 +148,7 @@
 		}
 		l.readAll(kvs)
 		// The reason for the break does not matter: all is read again.
-		_ = l.entry.platform.Watch(ctx, l.prefix(), rev+1, func(events []platform.Event, _ int64) error {
+		_ = l.entry.platform.Watch(ctx, l.prefix(), rev+1, func(events []etcd.Event, _ int64) error {
 			l.readEvents(events)
 			return nil
 		})
@@ -212,7 +212,7 @@
 }
 
 // readAll takes over everything that the platform holds for the entries.
-func (l *leader) readAll(kvs []platform.KV) {
+func (l *leader) readAll(kvs []etcd.KV) {
 	var records []fleet.Record
 	var vms []peer.VM
 	for _, kv := range kvs {
@@ -233,7 +233,7 @@
 }
 
 // readEvents takes over what changed at one revision.
-func (l *leader) readEvents(events []platform.Event) {
+func (l *leader) readEvents(events []etcd.Event) {
 	var records []fleet.Record
 	var vms []peer.VM
 	for _, ev := range events {
@@ -269,7 +269,7 @@
 	return kind, rest
 }
 
-func (l *leader) appendRecord(out []fleet.Record, kv platform.KV) []fleet.Record {
+func (l *leader) appendRecord(out []fleet.Record, kv etcd.KV) []fleet.Record {
 	var r fleet.Record
 	if err := json.Unmarshal(kv.Value, &r); err != nil {
 		l.entry.note(timeline.Event{Kind: "unreadable", Note: string(kv.Key) + ": " + err.Error()})
@@ -278,7 +278,7 @@
 	return append(out, r)
 }
 
-func (l *leader) appendVM(out []peer.VM, name string, kv platform.KV) []peer.VM {
+func (l *leader) appendVM(out []peer.VM, name string, kv etcd.KV) []peer.VM {
 	var v peer.VM
 	if err := json.Unmarshal(kv.Value, &v); err != nil {
 		l.entry.note(timeline.Event{Kind: "unreadable", Note: string(kv.Key) + ": " + err.Error()})
@@ -288,7 +288,7 @@
 	return append(out, v)
 }
 
-func (l *leader) readMembers(kv platform.KV) {
+func (l *leader) readMembers(kv etcd.KV) {
 	var members []peer.Member
 	if err := json.Unmarshal(kv.Value, &members); err != nil {
 		l.entry.note(timeline.Event{Kind: "unreadable", Note: string(kv.Key) + ": " + err.Error()})
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -16,7 +16,7 @@
 	"almondcove/fleet"
 	"almondcove/limit"
 	"almondcove/peer"
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/timeline"
 )
 
@@ -256,7 +256,7 @@
 
 // read returns the roll. One that is older than what was seen, since the
 // platform lost history, is mended and not used this time.
-func (s *seats) read(ctx context.Context) (platform.KV, limit.Roll, error) {
+func (s *seats) read(ctx context.Context) (etcd.KV, limit.Roll, error) {
 	kv, err := s.entry.platform.Get(ctx, s.key())
 	if err != nil {
 		return kv, limit.Roll{}, err
@@ -280,7 +280,7 @@
 }
 
 // mend writes what the entry knows into a roll that lost history.
-func (s *seats) mend(ctx context.Context, kv platform.KV, roll limit.Roll, seen uint64) {
+func (s *seats) mend(ctx context.Context, kv etcd.KV, roll limit.Roll, seen uint64) {
 	own := s.held()
 	if s.write(ctx, kv, roll.Mend(s.me(), own, s.announced(), seen)) {
 		s.entry.note(timeline.Event{Kind: "mend", Note: strconv.Itoa(len(own)) + " seats"})
@@ -313,19 +313,19 @@
 
 // write stores the roll if it is still as it was read. After a lost answer the
 // record itself says whether the write took effect.
-func (s *seats) write(ctx context.Context, kv platform.KV, next limit.Roll) bool {
+func (s *seats) write(ctx context.Context, kv etcd.KV, next limit.Roll) bool {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return false
 	}
-	done, err := s.entry.platform.Commit(ctx, platform.TxnRequest{
-		Compare: []platform.Compare{platform.Unchanged(kv)},
-		Success: []platform.Op{platform.Put(s.key(), value)},
+	done, err := s.entry.platform.Commit(ctx, etcd.TxnRequest{
+		Compare: []etcd.Compare{etcd.Unchanged(kv)},
+		Success: []etcd.Op{etcd.Put(s.key(), value)},
 	})
 	if err == nil {
 		return done.Succeeded
 	}
-	if _, ok := errors.Into[*platform.Uncertain](err); !ok {
+	if _, ok := errors.Into[*etcd.Uncertain](err); !ok {
 		return false
 	}
 	for range 20 {
@@ -342,7 +342,7 @@
 
 // tookEffect reports whether the roll in the platform follows from next as far
 // as the entry's own seats go.
-func (s *seats) tookEffect(kv platform.KV, next limit.Roll) bool {
+func (s *seats) tookEffect(kv etcd.KV, next limit.Roll) bool {
 	var roll limit.Roll
 	if kv.Mod == 0 || json.Unmarshal(kv.Value, &roll) != nil || roll.Seq < next.Seq {
 		return false
--- a/platform/errors.go
+++ b/etcd/errors.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import "fmt"
 
@@ -9,7 +9,7 @@
 }
 
 func (e *Unreachable) Error() string {
-	return "platform: unreachable: " + e.Path + ": " + e.Cause.Error()
+	return "etcd: unreachable: " + e.Path + ": " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -22,7 +22,7 @@
 }
 
 func (e *Uncertain) Error() string {
-	return "platform: answer lost: " + e.Path + ": " + e.Cause.Error()
+	return "etcd: answer lost: " + e.Path + ": " + e.Cause.Error()
 }
 
 // Unwrap returns the cause.
@@ -36,7 +36,7 @@
 }
 
 func (e *Rejected) Error() string {
-	return fmt.Sprintf("platform: %s refused with status %d: %s", e.Path, e.Status, e.Message)
+	return fmt.Sprintf("etcd: %s refused with status %d: %s", e.Path, e.Status, e.Message)
 }
 
 // Lapsed reports a lease that has ended.
@@ -45,7 +45,7 @@
 }
 
 func (e *Lapsed) Error() string {
-	return fmt.Sprintf("platform: lease %d has ended", e.ID)
+	return fmt.Sprintf("etcd: lease %d has ended", e.ID)
 }
 
 // Canceled reports a watch that the service ended. Compact is the first
@@ -55,10 +55,10 @@
 }
 
 func (e *Canceled) Error() string {
-	return fmt.Sprintf("platform: watch canceled, history starts at revision %d", e.Compact)
+	return fmt.Sprintf("etcd: watch canceled, history starts at revision %d", e.Compact)
 }
 
 // NoURL reports a client without any URL.
 type NoURL struct{}
 
-func (e *NoURL) Error() string { return "platform: no URL configured" }
+func (e *NoURL) Error() string { return "etcd: no URL configured" }
--- a/platform/platform_test.go
+++ b/etcd/etcd_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"github.com/go-faster/errors"
 	"github.com/onsi/gomega"
 
-	"almondcove/platform"
+	"almondcove/etcd"
 	"almondcove/standin"
 )
 
 // talk runs f with a client and the stand-in on a paused clock.
-func talk(t *testing.T, f func(g *gomega.WithT, c *platform.Client, store *standin.Platform)) {
+func talk(t *testing.T, f func(g *gomega.WithT, c *etcd.Client, store *standin.Platform)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -24,7 +24,7 @@
 		store := standin.NewPlatform()
 		running, err := standin.Serve(net.From(host), netip.AddrPortFrom(host, 0), store)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		c := platform.New(platform.Config{URLs: []string{running.URL()}, Dial: net.From(host).DialContext})
+		c := etcd.New(etcd.Config{URLs: []string{running.URL()}, Dial: net.From(host).DialContext})
 		defer func() {
 			c.Close()
 			running.Close()
@@ -34,32 +34,32 @@
 }
 
 // put writes key under a guard.
-func put(c *platform.Client, key string, guard platform.Compare) (platform.TxnResponse, error) {
-	return c.Commit(context.Background(), platform.TxnRequest{
-		Compare: []platform.Compare{guard},
-		Success: []platform.Op{platform.Put(key, []byte("v"))},
-		Failure: []platform.Op{platform.Read(key)},
+func put(c *etcd.Client, key string, guard etcd.Compare) (etcd.TxnResponse, error) {
+	return c.Commit(context.Background(), etcd.TxnRequest{
+		Compare: []etcd.Compare{guard},
+		Success: []etcd.Op{etcd.Put(key, []byte("v"))},
+		Failure: []etcd.Op{etcd.Read(key)},
 	})
 }
 
 func TestCompareAndSwap(t *testing.T) {
-	talk(t, func(g *gomega.WithT, c *platform.Client, _ *standin.Platform) {
+	talk(t, func(g *gomega.WithT, c *etcd.Client, _ *standin.Platform) {
 		ctx := context.Background()
-		done, err := put(c, "a", platform.Absent("a"))
+		done, err := put(c, "a", etcd.Absent("a"))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(done.Succeeded).To(gomega.BeTrue())
-		done, err = put(c, "a", platform.Absent("a"))
+		done, err = put(c, "a", etcd.Absent("a"))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(done.Succeeded).To(gomega.BeFalse())
 		g.Expect(done.Responses[0].Range.KVs).To(gomega.HaveLen(1))
 		kv, err := c.Get(ctx, "a")
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		for _, guard := range []platform.Compare{platform.Unchanged(kv), platform.Holds("a", []byte("v"))} {
+		for _, guard := range []etcd.Compare{etcd.Unchanged(kv), etcd.Holds("a", []byte("v"))} {
 			done, err = put(c, "a", guard)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			g.Expect(done.Succeeded).To(gomega.BeTrue())
 		}
-		done, err = put(c, "a", platform.Unchanged(kv))
+		done, err = put(c, "a", etcd.Unchanged(kv))
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(done.Succeeded).To(gomega.BeFalse())
 	})
@@ -78,14 +78,14 @@
 		{"lost", true, true},
 	} {
 		t.Run(c.fault, func(t *testing.T) {
-			talk(t, func(g *gomega.WithT, client *platform.Client, store *standin.Platform) {
+			talk(t, func(g *gomega.WithT, client *etcd.Client, store *standin.Platform) {
 				if c.fault != "" {
 					store.Fault(c.fault, time.Minute)
 				}
-				_, err := put(client, "a", platform.Absent("a"))
+				_, err := put(client, "a", etcd.Absent("a"))
 				if c.fails {
 					// Something was sent, so the write may have taken effect.
-					_, uncertain := errors.Into[*platform.Uncertain](err)
+					_, uncertain := errors.Into[*etcd.Uncertain](err)
 					g.Expect(uncertain).To(gomega.BeTrue(), "%v", err)
 				} else {
 					g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -103,26 +103,26 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		host := netip.MustParseAddr("10.0.0.1")
-		c := platform.New(platform.Config{URLs: []string{"http://10.0.0.1:1"}, Dial: (&standin.Network{}).From(host).DialContext})
+		c := etcd.New(etcd.Config{URLs: []string{"http://10.0.0.1:1"}, Dial: (&standin.Network{}).From(host).DialContext})
 		_, err := c.Get(t.Context(), "a")
-		_, unreachable := errors.Into[*platform.Unreachable](err)
+		_, unreachable := errors.Into[*etcd.Unreachable](err)
 		g.Expect(unreachable).To(gomega.BeTrue(), "%v", err)
 	})
 }
 
 func TestLeases(t *testing.T) {
-	talk(t, func(g *gomega.WithT, c *platform.Client, store *standin.Platform) {
+	talk(t, func(g *gomega.WithT, c *etcd.Client, store *standin.Platform) {
 		ctx := context.Background()
 		id, err := c.Grant(ctx, 5*time.Second)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		_, err = c.Commit(ctx, platform.TxnRequest{Success: []platform.Op{platform.PutLeased("a", nil, id)}})
+		_, err = c.Commit(ctx, etcd.TxnRequest{Success: []etcd.Op{etcd.PutLeased("a", nil, id)}})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		for range 3 {
 			time.Sleep(4 * time.Second)
 			g.Expect(c.KeepAlive(ctx, id)).To(gomega.Succeed())
 		}
 		store.Fault("lapse", time.Millisecond)
-		_, lapsed := errors.Into[*platform.Lapsed](c.KeepAlive(ctx, id))
+		_, lapsed := errors.Into[*etcd.Lapsed](c.KeepAlive(ctx, id))
 		g.Expect(lapsed).To(gomega.BeTrue())
 		kv, err := c.Get(ctx, "a")
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -131,7 +131,7 @@
 }
 
 func TestWatch(t *testing.T) {
-	talk(t, func(g *gomega.WithT, c *platform.Client, store *standin.Platform) {
+	talk(t, func(g *gomega.WithT, c *etcd.Client, store *standin.Platform) {
 		ctx := context.Background()
 		store.Put("v/a", []byte("1"))
 		_, rev, err := c.List(ctx, "v/")
@@ -141,7 +141,7 @@
 		var seen []string
 		broke := make(chan error, 1)
 		go func() {
-			broke <- c.Watch(ctx, "v/", rev+1, func(events []platform.Event, _ int64) error {
+			broke <- c.Watch(ctx, "v/", rev+1, func(events []etcd.Event, _ int64) error {
 				for _, e := range events {
 					seen = append(seen, string(e.KV.Key)+" "+string(e.KV.Value))
 				}
--- a/platform/watch.go
+++ b/etcd/watch.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/etcd/wire.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 // The types of this file are the JSON mapping of the etcd v3 API: byte strings
 // are base64 and 64-bit numbers are strings.
--- /dev/null
+++ b/schedule/core.go
@@ -0,0 +1,511 @@
+// Package schedule decides which task runs on which VM, and when.
+//
+// A [Core] belongs to the owner of the jobs. It holds the jobs that were
+// accepted and what runs or may run on each VM, takes events with the time at
+// which they happened, and returns actions. It does no input or output and
+// reads no clock.
+//
+// # Where safety comes from
+//
+// Every order carries a fence: the owner's epoch and, below it, a counter for
+// each VM. A VM does nothing for a fence lower than the highest that it has seen.
+// An order without an answer is therefore settled by a hold under a higher
+// fence: what the VM then doesn't run and has not ended will never start. Until
+// then, or until everything that the VM may run has lapsed, the task counts as
+// running there.
+//
+// # Usage
+//
+//	c := schedule.New(schedule.Config{Hold: 6 * time.Second, Epoch: epoch})
+//	c.SetView(view, now)
+//	c.SetVMs(vms, now)
+//	c.Add(j, state, now)
+//	for _, a := range c.Plan(now) {
+//		switch a := a.(type) {
+//		case schedule.Start:
+//			// order it, then call c.Started
+//		}
+//	}
+package schedule
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"almondcove/job"
+)
+
+// Config configures a core.
+type Config struct {
+	// Epoch is that of the owner.
+	Epoch int64
+	// Hold is the longest lease that VMs grant.
+	Hold time.Duration
+	// Stop bounds the time that a run takes to stop.
+	Stop time.Duration
+	// Notice is how long a service task counts as away after it has started anew.
+	Notice time.Duration
+	// Keep is how long a job is kept after its end.
+	Keep time.Duration
+	Log  hclog.Logger
+}
+
+// Core is the state of all jobs and VMs. It is not safe for concurrent use.
+type Core struct {
+	config Config
+	epoch  int64
+	view   View
+	vms    map[string]*vm
+	pools  map[string]*pool
+	jobs   map[job.ID]*work
+	teams  map[string]*team
+	// gates holds the VMs whose runs a new owner doesn't know yet.
+	gates map[string]*gate
+	// dirty lists the jobs whose state has changed since it was last taken.
+	dirty    map[job.ID]*work
+	actions  []Action
+	machines map[string]Machine
+	waves    map[int64]*wave
+	moves    map[string]*move
+	// demand follows the work that is asked of each pool.
+	demand map[string]*demand
+	stats  Stats
+	// serial is the last counter used below the epoch in a fence.
+	serial int64
+	// fleetChanged is set when the record of VMs is out of date.
+	fleetChanged bool
+}
+
+// Stats counts what the core has done.
+type Stats struct {
+	Starts, Ends, Failures, Lapses, Unanswered int64
+}
+
+// pool holds the tasks that wait for VMs of one pool.
+type pool struct {
+	name   string
+	stages map[job.Stage]*stage
+	vms    map[string]*vm
+}
+
+type team struct {
+	used job.Resources
+}
+
+// work is a job under scheduling.
+type work struct {
+	*job.Job
+	state  *job.State
+	stages map[job.Stage]*stage
+	// shown is the phase that is recorded.
+	shown job.Phase
+	// objective is when a job must be completed to count as in time.
+	objective time.Time
+	// version grows with every change, recorded is the version last written.
+	version, recorded int64
+}
+
+// stage is a step of one occurrence of a job.
+type stage struct {
+	work  *work
+	id    job.Stage
+	step  *job.Step
+	tasks []*task
+	// waiting is the number of tasks that have no run and are not done.
+	waiting int
+	// open is set once the tasks may start.
+	open bool
+	due  time.Time
+	// advice is what the advice service said of the stage.
+	advice advice
+}
+
+type task struct {
+	stage      *stage
+	id         job.Task
+	done       bool
+	runs       []*run
+	number     int
+	checkpoint string
+	notBefore  time.Time
+	// failedOn lists the VMs on which runs have failed.
+	failedOn []string
+	// atWork is since when a service task works, zero while it doesn't.
+	atWork time.Time
+}
+
+// runState is what is known of a run.
+type runState int
+
+const (
+	sent runState = iota
+	running
+	unsettled
+	stopping
+)
+
+// run is one start of a task, from the order to its end.
+type run struct {
+	id    Run
+	task  *task
+	vm    *vm
+	fence int64
+	state runState
+	sent  time.Time
+	// need is what the run uses of the VM, and asked what the team is charged.
+	need, asked job.Resources
+	checkpoint  string
+	percent     int
+	load        int64
+	pace        int
+	// stopSent is when the last order to stop was given.
+	stopSent time.Time
+	// unsure is set when the order to start was not answered.
+	unsure bool
+}
+
+// runSpan is the room that each epoch has for the numbers of a task's runs.
+const runSpan = 10000
+
+// New returns a core without jobs and VMs.
+func New(c Config) *Core {
+	return &Core{
+		config:   c,
+		epoch:    c.Epoch,
+		vms:      make(map[string]*vm),
+		pools:    make(map[string]*pool),
+		jobs:     make(map[job.ID]*work),
+		teams:    make(map[string]*team),
+		gates:    make(map[string]*gate),
+		dirty:    make(map[job.ID]*work),
+		machines: make(map[string]Machine),
+		waves:    make(map[int64]*wave),
+		moves:    make(map[string]*move),
+		demand:   make(map[string]*demand),
+	}
+}
+
+// SetEpoch makes the core go on under a later epoch of the same process.
+func (c *Core) SetEpoch(epoch int64) {
+	c.epoch = epoch
+	for _, v := range c.vms {
+		v.refence()
+	}
+}
+
+// SetView replaces the configuration.
+func (c *Core) SetView(v View, now time.Time) {
+	c.view = v
+	c.setWaves(v.Waves, now)
+	for _, w := range c.jobs {
+		w.objective = c.objective(w)
+	}
+}
+
+// Job returns the phase of a job as it is recorded.
+func (c *Core) Job(id job.ID) (job.Phase, bool) {
+	w, ok := c.jobs[id]
+	if !ok {
+		return 0, false
+	}
+	if w.shown == job.Pending && w.state.Started() {
+		return job.Running, true
+	}
+	return w.shown, true
+}
+
+// Waiting returns the number of a queue's jobs of which no task has started.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, w := range c.jobs {
+		if w.Queue == queue && w.state.Phase() == job.Pending {
+			n++
+		}
+	}
+	return n
+}
+
+// Stats returns what has been counted.
+func (c *Core) Stats() Stats { return c.stats }
+
+func (c *Core) pool(name string) *pool {
+	p := c.pools[name]
+	if p == nil {
+		p = &pool{name: name, stages: make(map[job.Stage]*stage), vms: make(map[string]*vm)}
+		c.pools[name] = p
+	}
+	return p
+}
+
+func (c *Core) team(name string) *team {
+	t := c.teams[name]
+	if t == nil {
+		t = &team{}
+		c.teams[name] = t
+	}
+	return t
+}
+
+// Add takes a job that is recorded, with its recorded state.
+func (c *Core) Add(j *job.Job, s *job.State, now time.Time) {
+	if c.jobs[j.ID] != nil {
+		return
+	}
+	w := &work{Job: j, state: s, shown: s.Phase(), stages: make(map[job.Stage]*stage)}
+	w.objective = c.objective(w)
+	c.jobs[j.ID] = w
+	if s.Phase().Final() {
+		return
+	}
+	c.open(w, now)
+}
+
+// open makes stages of all occurrences that are due soon.
+func (c *Core) open(w *work, now time.Time) {
+	for k := range w.Occurrences() {
+		due := w.Due(k)
+		if due.After(now.Add(occurrenceAhead)) {
+			return
+		}
+		for i := range w.Steps {
+			c.openStage(w, job.Stage{Job: w.ID, Occurrence: k, Step: i}, due)
+		}
+	}
+}
+
+// occurrenceAhead is how long before it is due an occurrence is prepared.
+const occurrenceAhead = 2 * time.Second
+
+func (c *Core) openStage(w *work, id job.Stage, due time.Time) {
+	if w.stages[id] != nil || w.state.StageDone(id) {
+		return
+	}
+	for _, a := range w.Steps[id.Step].After {
+		if !w.state.StageDone(job.Stage{Job: id.Job, Occurrence: id.Occurrence, Step: a}) {
+			return
+		}
+	}
+	g := &stage{work: w, id: id, step: &w.Steps[id.Step], due: due}
+	w.stages[id] = g
+	for i := range g.step.Count {
+		t := &task{stage: g, id: job.Task{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}}
+		t.done = w.state.IsDone(t.id)
+		t.number = int(c.epoch-w.Epoch) * runSpan
+		g.tasks = append(g.tasks, t)
+		if !t.done {
+			g.waiting++
+		}
+	}
+	c.pool(c.view.Queues[w.Queue].Pool).stages[id] = g
+}
+
+// objective returns when a job has to be completed to be in time.
+func (c *Core) objective(w *work) time.Time {
+	q := c.view.Queues[w.Queue]
+	return w.Accepted.Add(time.Duration(q.Stretch*float64(chain(w.Job))) + q.Slack)
+}
+
+// chain returns the longest chain of estimated work.
+func chain(j *job.Job) time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	longest := time.Duration(0)
+	for i := range j.Steps {
+		start := time.Duration(0)
+		for _, a := range j.Steps[i].After {
+			start = max(start, ends[a])
+		}
+		ends[i] = start + j.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Cancel ends a job whose cancelling is about to be recorded. It reports whether
+// there is such a job.
+func (c *Core) Cancel(id job.ID, now time.Time) bool {
+	w, ok := c.jobs[id]
+	if !ok {
+		return false
+	}
+	if !w.state.Phase().Final() {
+		c.finish(w, job.Cancelled, now)
+	}
+	return true
+}
+
+// finish gives a job its final phase and stops all of it.
+func (c *Core) finish(w *work, p job.Phase, now time.Time) {
+	w.state.Finish(p, now)
+	c.changed(w)
+	c.config.Log.Info("job ended", "job", w.ID, "phase", p, "queue", w.Queue)
+	for _, g := range w.stages {
+		for _, t := range g.tasks {
+			for _, r := range slices.Clone(t.runs) {
+				c.stop(r, now)
+			}
+		}
+		c.closeStage(g)
+	}
+}
+
+func (c *Core) closeStage(g *stage) {
+	for _, p := range c.pools {
+		delete(p.stages, g.id)
+	}
+}
+
+// changed marks a job whose state has to be recorded.
+func (c *Core) changed(w *work) {
+	w.version++
+	c.dirty[w.ID] = w
+}
+
+// Recorded is a set of states on their way to the store.
+type Recorded struct {
+	States  []StateRecord
+	Removed []job.ID
+	// Fleet lists the VMs that may run tasks; nil when that is recorded already.
+	Fleet []VM
+	seen  map[*vm]seen
+}
+
+// StateRecord is the state of one job as it is to be written.
+type StateRecord struct {
+	Job     job.ID
+	Data    []byte
+	version int64
+	phase   job.Phase
+}
+
+type seen struct {
+	born   time.Time
+	number int64
+}
+
+// Take returns at most most states that have to be recorded. Urgent ones, which
+// end a job, come first.
+func (c *Core) Take(most int) (Recorded, error) {
+	var out Recorded
+	list := make([]*work, 0, len(c.dirty))
+	for _, w := range c.dirty {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *work) int {
+		return cmp.Or(cmp.Compare(b.state.Phase(), a.state.Phase()), cmp.Compare(a.ID, b.ID))
+	})
+	for _, w := range list[:min(most, len(list))] {
+		data, err := json.Marshal(w.state)
+		if err != nil {
+			return out, err
+		}
+		out.States = append(out.States, StateRecord{w.ID, data, w.version, w.state.Phase()})
+		delete(c.dirty, w.ID)
+	}
+	if c.fleetChanged {
+		c.fleetChanged = false
+		out.Fleet = c.Fleet()
+	}
+	if len(c.dirty) == 0 {
+		out.seen = make(map[*vm]seen, len(c.vms))
+		for _, v := range c.vms {
+			out.seen[v] = seen{v.born, v.read}
+		}
+	}
+	return out, nil
+}
+
+// Expired returns at most most jobs that have been kept long enough.
+func (c *Core) Expired(now time.Time, most int) []job.ID {
+	var out []job.ID
+	for id, w := range c.jobs {
+		if len(out) == most {
+			break
+		}
+		if w.shown.Final() && now.Sub(w.state.Ended()) > c.config.Keep && w.recorded == w.version {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Written takes note that states were recorded.
+func (c *Core) Written(r Recorded) {
+	for _, s := range r.States {
+		w := c.jobs[s.Job]
+		if w == nil {
+			continue
+		}
+		w.recorded = s.version
+		w.shown = s.phase
+	}
+	for v, s := range r.seen {
+		if v.born.Equal(s.born) {
+			v.seen = max(v.seen, s.number)
+		}
+	}
+	for _, id := range r.Removed {
+		delete(c.jobs, id)
+	}
+	for _, l := range r.Fleet {
+		if v := c.vms[l.ID]; v != nil {
+			v.recorded = true
+		}
+	}
+}
+
+// Unwritten takes back states that were not recorded.
+func (c *Core) Unwritten(r Recorded) {
+	for _, s := range r.States {
+		if w := c.jobs[s.Job]; w != nil {
+			c.dirty[s.Job] = w
+		}
+	}
+	c.fleetChanged = c.fleetChanged || r.Fleet != nil
+}
+
+// Fleet returns the ids and addresses of the VMs that may run tasks.
+func (c *Core) Fleet() []VM {
+	out := make([]VM, 0, len(c.vms))
+	for _, v := range c.vms {
+		out = append(out, v.VM)
+	}
+	slices.SortFunc(out, func(a, b VM) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// VM returns what is known of a VM.
+func (c *Core) VM(id string) (VM, bool) {
+	v := c.vms[id]
+	if v == nil {
+		return VM{}, false
+	}
+	return v.VM, true
+}
+
+// Unrecorded reports whether states or the fleet have still to be recorded.
+func (c *Core) Unrecorded() bool { return len(c.dirty) > 0 || c.fleetChanged }
+
+// Admit decides whether a job should be accepted now. If not, it returns when
+// the caller may come back.
+func (c *Core) Admit(j *job.Job, _ time.Time) (time.Duration, bool) {
+	if _, ok := c.view.Queues[j.Queue]; !ok {
+		return time.Second, false
+	}
+	return 0, true
+}
+
+// Paced takes the result of an order to pace.
+func (c *Core) Paced(p Pace, result Result, _ time.Time) {
+	if result != Accepted {
+		c.config.Log.Info("pace not accepted", "run", p.Run, "vm", p.VM, "result", result)
+	}
+}
+
+// Moved takes the result of an order to move a machine.
+func (c *Core) Moved(m Move, result MachineResult, _ time.Time) {
+	c.config.Log.Info("move ordered", "machine", m.Machine, "pool", m.Pool, "result", result)
+}
--- /dev/null
+++ b/schedule/plan.go
@@ -0,0 +1,396 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"almondcove/job"
+)
+
+// fullPace is the pace of a task that is not slowed down, in percent.
+const fullPace = 100
+
+// gate closes a pool for starts until a VM has answered a new owner, or until
+// whatever it may run has lapsed.
+type gate struct {
+	pool  string
+	until time.Time
+}
+
+// Gate closes the pools of the VMs that the owner before may have used. Each
+// opens when all of its VMs have answered, or at until.
+func (c *Core) Gate(fleet []VM, until time.Time) {
+	for _, l := range fleet {
+		if c.vms[l.ID] == nil {
+			c.addVM(l).recorded = true
+		}
+		c.gates[l.ID] = &gate{pool: l.Pool, until: until}
+	}
+}
+
+// closed reports whether a pool's tasks may run on VMs that have not answered yet.
+func (c *Core) closed(pool string, now time.Time) bool {
+	for id, g := range c.gates {
+		if now.After(g.until) {
+			c.config.Log.Warn("VM given up after a change of owner", "vm", id)
+			delete(c.gates, id)
+			continue
+		}
+		if g.pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// Plan looks at everything that has changed or is due and returns what to do.
+func (c *Core) Plan(now time.Time) []Action {
+	c.tick(now)
+	c.planWaves(now)
+	c.planMoves(now)
+	for _, p := range c.sortedPools() {
+		if !c.closed(p.name, now) {
+			c.planPool(p, now)
+		}
+	}
+	out := c.actions
+	c.actions = nil
+	return out
+}
+
+func (c *Core) sortedPools() []*pool {
+	out := make([]*pool, 0, len(c.pools))
+	for _, p := range c.pools {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+	return out
+}
+
+// tick does what depends on time alone.
+func (c *Core) tick(now time.Time) {
+	for _, v := range c.vms {
+		c.tickVM(v, now)
+	}
+	for _, w := range c.jobs {
+		if w.Times > 0 && !w.state.Phase().Final() {
+			c.open(w, now)
+		}
+	}
+}
+
+func (c *Core) tickVM(v *vm, now time.Time) {
+	if v.silent {
+		c.expire(v, now)
+	}
+	for _, r := range v.runs {
+		if r.state == stopping {
+			c.stop(r, now)
+		}
+		if v.Draining && r.task.stage.step.Service && r.state == running {
+			c.stop(r, now)
+		}
+	}
+	if !v.listed && len(v.runs) == 0 && now.Sub(v.unlisted) > unlistedFor && now.After(v.lapse) && c.gates[v.ID] == nil {
+		delete(c.vms, v.ID)
+		delete(c.pool(v.Pool).vms, v.ID)
+		c.fleetChanged = true
+		c.config.Log.Info("VM gone", "vm", v.ID)
+	}
+}
+
+// planPool starts waiting tasks of one pool.
+func (c *Core) planPool(p *pool, now time.Time) {
+	stages := c.order(p, now)
+	if len(stages) == 0 {
+		return
+	}
+	free := c.usable(p, now)
+	var failed []job.Resources
+	for _, g := range stages {
+		if tooLarge(g.step.Need, failed) {
+			continue
+		}
+		if !c.planStage(g, free, now) && !g.constrained() {
+			failed = append(failed, g.need())
+		}
+	}
+}
+
+// tooLarge reports whether a need at least as small has already not fitted.
+func tooLarge(need job.Resources, failed []job.Resources) bool {
+	return slices.ContainsFunc(failed, func(f job.Resources) bool { return f.Within(need) })
+}
+
+func (g *stage) need() job.Resources {
+	need := g.step.Need
+	if g.step.Filler {
+		need.CPU = 0
+	}
+	return need
+}
+
+// constrained reports whether only some VMs are allowed, so that a miss says
+// nothing about others.
+func (g *stage) constrained() bool {
+	s := g.step
+	return s.Spread > 0 || s.Label != "" || s.Gang || s.Together || s.Filler || g.work.Team != ""
+}
+
+// order returns the stages with waiting tasks, the most important first.
+func (c *Core) order(p *pool, now time.Time) []*stage {
+	var out []*stage
+	for _, g := range p.stages {
+		if g.waiting > 0 && !g.due.After(now) {
+			out = append(out, g)
+		}
+	}
+	slices.SortFunc(out, func(a, b *stage) int {
+		return cmp.Or(
+			cmp.Compare(c.rank(a, now), c.rank(b, now)),
+			a.work.objective.Compare(b.work.objective),
+			cmp.Compare(a.id.Job, b.id.Job),
+			cmp.Compare(a.id.Step, b.id.Step),
+		)
+	})
+	return out
+}
+
+// The ranks of stages; lower ones go first.
+const (
+	rankService = iota
+	rankUrgent
+	rankLater
+	rankMissed
+)
+
+// rank sorts service tasks first, then tasks by their queue's priority, and
+// those of jobs that have missed their objective last.
+func (c *Core) rank(g *stage, now time.Time) int {
+	switch {
+	case g.step.Service && !g.step.Filler:
+		return rankService
+	case !g.step.Service && now.After(g.work.objective):
+		return rankMissed
+	case c.view.Queues[g.work.Queue].Priority == 0:
+		return rankUrgent
+	}
+	return rankLater
+}
+
+// usable returns the VMs of a pool on which something may start.
+func (c *Core) usable(p *pool, now time.Time) []*vm {
+	var out []*vm
+	for _, v := range p.vms {
+		if c.takes(v, now) {
+			out = append(out, v)
+		}
+	}
+	slices.SortFunc(out, func(a, b *vm) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (c *Core) takes(v *vm, now time.Time) bool {
+	return v.attached && v.recorded && v.listed && !v.silent && !v.raise && !v.Draining && !v.kept &&
+		!c.view.Out[v.Centre] && v.health.open(now)
+}
+
+// planStage starts the waiting tasks of a stage and reports whether all of them
+// have found a VM.
+func (c *Core) planStage(g *stage, vms []*vm, now time.Time) bool {
+	if g.step.Gang {
+		return c.planGang(g, vms, now)
+	}
+	for _, t := range g.tasks {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+			continue
+		}
+		if !c.withinCap(g, 1) {
+			return false
+		}
+		v := c.choose(t, vms, now)
+		if v == nil {
+			return false
+		}
+		c.start(t, v, t.number+1, now)
+	}
+	return true
+}
+
+// withinCap reports whether the stage's team may run n more of its tasks.
+func (c *Core) withinCap(g *stage, n int64) bool {
+	most := c.view.Teams[g.work.Team].Cap
+	next := c.team(g.work.Team).used.Plus(g.step.Need.Times(n))
+	return (most.CPU == 0 || next.CPU <= most.CPU) &&
+		(most.Memory == 0 || next.Memory <= most.Memory) &&
+		(most.GPU == 0 || next.GPU <= most.GPU)
+}
+
+// choose returns the VM for a task, or nil when none fits.
+func (c *Core) choose(t *task, vms []*vm, now time.Time) *vm {
+	var best *vm
+	var bestCost float64
+	for _, v := range vms {
+		if !c.fits(t.stage, v) {
+			continue
+		}
+		cost := c.cost(t, v, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = v, cost
+		}
+	}
+	return best
+}
+
+// fits reports whether a VM has room for one more task of a stage.
+func (c *Core) fits(g *stage, v *vm) bool {
+	if !v.used.Plus(g.need()).Within(v.Capacity) {
+		return false
+	}
+	if g.step.Label != "" && !slices.Contains(v.Labels, g.step.Label) {
+		return false
+	}
+	return g.step.Spread == 0 || v.count(g.id) < g.step.Spread
+}
+
+// count returns the runs of a stage on the VM.
+func (v *vm) count(id job.Stage) int {
+	n := 0
+	for k := range v.runs {
+		if k.Task.Stage() == id {
+			n++
+		}
+	}
+	return n
+}
+
+// The costs of a placement. They compare the VMs that have room.
+const (
+	// costFar is that of a rack without the task's data.
+	costFar = 1.0
+	// costFailed is that of a VM on which the task has failed before.
+	costFailed = 4.0
+	// costDoubt is that of a VM whose last task failed or that is not proven.
+	costDoubt = 0.5
+	// costFree is that of a VM that is idle: packing leaves VMs free to be moved.
+	costFree = 0.3
+)
+
+// cost returns how unwelcome a VM is for a task.
+func (c *Core) cost(t *task, v *vm, now time.Time) float64 {
+	sum := costFree * (1 - float64(v.used.CPU)/float64(max(v.Capacity.CPU, 1)))
+	if t.stage.step.Service {
+		// Service tasks spread, so that few of them are lost together.
+		sum = costFree * float64(len(v.runs)) / 10
+	}
+	if t.stage.step.Rack != "" && !slices.Contains(v.Labels, t.stage.step.Rack) {
+		sum += costFar
+	}
+	if slices.Contains(t.failedOn, v.ID) {
+		sum += costFailed
+	}
+	if v.health.doubtful() {
+		sum += costDoubt
+		if len(t.failedOn) > 0 {
+			sum += costFailed
+		}
+	}
+	return sum + c.waveCost(v, now)
+}
+
+// start orders a task's run.
+func (c *Core) start(t *task, v *vm, number int, now time.Time) {
+	r := c.newRun(t, v, number, now)
+	w := t.stage.work
+	if !w.state.Started() {
+		w.state.Start()
+	}
+	c.stats.Starts++
+	c.actions = append(c.actions, Start{
+		VM: v.ID, Run: r.id, Spec: w.Spec, Checkpoint: t.checkpoint, Fence: r.fence,
+		Until: v.at(now) + startWindow, Ticket: t.stage.advice.tickets[v.ID],
+	})
+	v.granted(now, startWindow)
+}
+
+// planGang starts all tasks of a gang at once, or none.
+func (c *Core) planGang(g *stage, vms []*vm, now time.Time) bool {
+	number := 0
+	for _, t := range g.tasks {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
+			return true
+		}
+		number = max(number, t.number)
+	}
+	if !c.withinCap(g, int64(len(g.tasks))) {
+		return false
+	}
+	places := c.gangPlaces(g, vms, now)
+	if places == nil {
+		return false
+	}
+	checkpoint := g.tasks[0].checkpoint
+	for i, t := range g.tasks {
+		t.checkpoint = checkpoint
+		c.start(t, places[i], number+1, now)
+	}
+	return true
+}
+
+// gangPlaces returns a VM for each task of a gang, or nil. It tries single racks
+// first where the gang wants to stay together.
+func (c *Core) gangPlaces(g *stage, vms []*vm, now time.Time) []*vm {
+	if g.step.Together || g.step.Rack != "" {
+		for _, rack := range racksOf(vms) {
+			same := slices.DeleteFunc(slices.Clone(vms), func(v *vm) bool { return v.rack() != rack })
+			if places := c.fill(g, same, now); places != nil {
+				return places
+			}
+		}
+	}
+	return c.fill(g, vms, now)
+}
+
+// rack returns the label that names the VM's rack: the last one.
+func (v *vm) rack() string {
+	if len(v.Labels) == 0 {
+		return ""
+	}
+	return v.Labels[len(v.Labels)-1]
+}
+
+func racksOf(vms []*vm) []string {
+	var out []string
+	for _, v := range vms {
+		if !slices.Contains(out, v.rack()) {
+			out = append(out, v.rack())
+		}
+	}
+	return out
+}
+
+// fill spreads a gang over the VMs by their room, or returns nil.
+func (c *Core) fill(g *stage, vms []*vm, now time.Time) []*vm {
+	var out []*vm
+	need := g.need()
+	for _, v := range vms {
+		used := v.used
+		count := v.count(g.id)
+		for len(out) < len(g.tasks) && used.Plus(need).Within(v.Capacity) {
+			if g.step.Label != "" && !slices.Contains(v.Labels, g.step.Label) {
+				break
+			}
+			if g.step.Spread > 0 && count >= g.step.Spread {
+				break
+			}
+			used = used.Plus(need)
+			count++
+			out = append(out, v)
+		}
+	}
+	if len(out) < len(g.tasks) {
+		return nil
+	}
+	return out
+}
--- /dev/null
+++ b/schedule/wave.go
@@ -0,0 +1,330 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// The planning of maintenance.
+const (
+	// waveSpare is the share of a wave's time that is kept as a reserve.
+	waveSpare = 0.25
+	// idleWait is how long a VM chosen for maintenance may finish its tasks.
+	idleWait = 2500 * time.Millisecond
+	// machineAgain is when an order for a machine is given once more.
+	machineAgain = 1500 * time.Millisecond
+	// waveAvoid is the cost of starting a task on a VM whose machine is due.
+	waveAvoid = 0.4
+)
+
+// wave is the progress of one maintenance wave.
+type wave struct {
+	Wave
+	first time.Time
+	// begun holds the machines whose maintenance has begun, and taken those
+	// that are being emptied or are under maintenance.
+	begun map[string]bool
+	taken map[string]*take
+	told  bool
+}
+
+// take is one machine of a wave on its way.
+type take struct {
+	since time.Time
+	// ordered is when the maintenance was last ordered; zero means not yet.
+	ordered time.Time
+	// vm is the id of the VM that ran on the machine.
+	vm string
+}
+
+// setWaves takes the waves that are asked for.
+func (c *Core) setWaves(waves []Wave, now time.Time) {
+	asked := make(map[int64]bool)
+	for _, w := range waves {
+		asked[w.Number] = true
+		if known := c.waves[w.Number]; known != nil {
+			known.Wave = w
+			continue
+		}
+		c.waves[w.Number] = &wave{Wave: w, first: now, begun: make(map[string]bool), taken: make(map[string]*take)}
+		c.config.Log.Info("wave", "wave", w.Number, "machines", len(w.Machines), "within", w.Within, "cap", w.Cap)
+	}
+	for n := range c.waves {
+		if !asked[n] {
+			delete(c.waves, n)
+		}
+	}
+}
+
+// SetMachines replaces what the platform says of its machines.
+func (c *Core) SetMachines(list []Machine) {
+	c.machines = make(map[string]Machine, len(list))
+	for _, m := range list {
+		c.machines[m.Name] = m
+	}
+}
+
+// Pressing reports whether the machines have to be looked at often.
+func (c *Core) Pressing() bool {
+	for _, w := range c.waves {
+		if !c.complete(w) {
+			return true
+		}
+	}
+	return len(c.moves) > 0
+}
+
+// WaveState tells how far a wave is.
+type WaveState struct {
+	Number   int64
+	Complete bool
+}
+
+// WaveStates returns the waves that are asked for, in order.
+func (c *Core) WaveStates() []WaveState {
+	out := make([]WaveState, 0, len(c.waves))
+	for n, w := range c.waves {
+		out = append(out, WaveState{n, c.complete(w)})
+	}
+	slices.SortFunc(out, func(a, b WaveState) int { return cmp.Compare(a.Number, b.Number) })
+	return out
+}
+
+// SetBegun takes over the record of machines whose maintenance has begun.
+func (c *Core) SetBegun(number int64, machines []string) {
+	if w := c.waves[number]; w != nil {
+		for _, m := range machines {
+			w.begun[m] = true
+		}
+	}
+}
+
+// complete reports whether every machine of a wave that is still there has
+// begun its maintenance.
+func (c *Core) complete(w *wave) bool {
+	if len(c.machines) == 0 {
+		return false
+	}
+	for _, m := range w.Machines {
+		if _, there := c.machines[m]; there && !w.begun[m] {
+			return false
+		}
+	}
+	return len(w.taken) == 0
+}
+
+// planWaves takes machines out of service for maintenance.
+func (c *Core) planWaves(now time.Time) {
+	for _, w := range c.sortedWaves() {
+		c.advance(w, now)
+		for len(w.taken) < max(w.Cap, 1) {
+			name, ok := c.nextMachine(w, now)
+			if !ok {
+				break
+			}
+			m := c.machines[name]
+			w.taken[name] = &take{since: now, vm: m.VM}
+			c.keep(m.VM, true)
+			c.config.Log.Info("machine taken for maintenance", "machine", name, "wave", w.Number, "vm", m.VM)
+			c.advance(w, now)
+		}
+	}
+}
+
+func (c *Core) sortedWaves() []*wave {
+	out := make([]*wave, 0, len(c.waves))
+	for _, w := range c.waves {
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(a, b *wave) int { return cmp.Compare(a.Number, b.Number) })
+	return out
+}
+
+// keep sets whether a VM is kept free of new tasks.
+func (c *Core) keep(id string, kept bool) {
+	if v := c.vms[id]; v != nil {
+		v.kept = kept
+	}
+}
+
+// nextMachine returns the machine of a wave that costs least to take now.
+func (c *Core) nextMachine(w *wave, now time.Time) (string, bool) {
+	best, bestCost, found := "", 0.0, false
+	for _, name := range w.Machines {
+		m, there := c.machines[name]
+		if !there || w.begun[name] || w.taken[name] != nil || m.State != Up || c.takenElsewhere(name) {
+			continue
+		}
+		v := c.vms[m.VM]
+		if v != nil && v.Draining {
+			continue
+		}
+		cost := c.takeCost(v, now)
+		if !found || cost < bestCost {
+			best, bestCost, found = name, cost, true
+		}
+	}
+	return best, found
+}
+
+func (c *Core) takenElsewhere(machine string) bool {
+	for _, w := range c.waves {
+		if w.taken[machine] != nil {
+			return true
+		}
+	}
+	return c.moves[machine] != nil
+}
+
+// takeCost is the work that a VM would lose, in thousandths of a core.
+func (c *Core) takeCost(v *vm, _ time.Time) float64 {
+	if v == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, r := range v.runs {
+		sum += float64(r.asked.CPU)
+		if r.task.stage.step.Service {
+			sum += float64(r.asked.CPU)
+		}
+	}
+	return sum
+}
+
+// advance empties the machines that a wave has taken and orders their maintenance.
+func (c *Core) advance(w *wave, now time.Time) {
+	for name, t := range w.taken {
+		m, there := c.machines[name]
+		v := c.vms[t.vm]
+		switch {
+		case !there:
+			delete(w.taken, name)
+			c.keep(t.vm, false)
+		case !t.ordered.IsZero() && w.begun[name]:
+			// Under maintenance until the platform shows it up again.
+			if m.State == Up && now.Sub(t.ordered) > machineAgain {
+				delete(w.taken, name)
+				c.keep(t.vm, false)
+			}
+		case !t.ordered.IsZero():
+			if now.Sub(t.ordered) > machineAgain {
+				c.orderMaintenance(w, t, name, now)
+			}
+		case v == nil || c.empty(v, t, w, now):
+			c.orderMaintenance(w, t, name, now)
+		}
+	}
+}
+
+func (c *Core) orderMaintenance(w *wave, t *take, name string, now time.Time) {
+	t.ordered = now
+	c.actions = append(c.actions, Maintain{Machine: name, Wave: w.Number})
+}
+
+// empty reports whether a VM's machine may be taken, and stops what runs there
+// as far as budgets allow.
+func (c *Core) empty(v *vm, t *take, w *wave, now time.Time) bool {
+	patience := c.patience(w)
+	for _, r := range v.list() {
+		step := r.task.stage.step
+		switch {
+		case step.Service:
+			if r.state == running && c.mayMiss(r.task, now) {
+				c.stop(r, now)
+			}
+		case step.Saves || now.Sub(t.since) > patience:
+			if r.state == running {
+				c.stop(r, now)
+			}
+		}
+	}
+	return len(v.runs) == 0
+}
+
+// patience is how long a VM of a wave may take to finish its tasks.
+func (c *Core) patience(w *wave) time.Duration {
+	turns := (len(w.Machines) + max(w.Cap, 1) - 1) / max(w.Cap, 1)
+	each := time.Duration(float64(w.Within) * (1 - waveSpare) / float64(max(turns, 1)))
+	return min(max(each-maintenanceTime, 0), idleWait)
+}
+
+// maintenanceTime is about how long a machine is away for maintenance.
+const maintenanceTime = 2500 * time.Millisecond
+
+// mayMiss reports whether a service task may be taken away by our own act.
+func (c *Core) mayMiss(t *task, now time.Time) bool {
+	if !t.stage.step.Budgeted {
+		return true
+	}
+	away := 0
+	for _, o := range t.stage.tasks {
+		if o != t && (o.atWork.IsZero() || now.Sub(o.atWork) < c.config.Notice) {
+			away++
+		}
+	}
+	return away < t.stage.step.Missing
+}
+
+// waveCost is what it costs to start a task on a VM whose machine is due.
+func (c *Core) waveCost(v *vm, _ time.Time) float64 {
+	for _, w := range c.waves {
+		for _, name := range w.Machines {
+			if !w.begun[name] && c.machines[name].VM == v.ID {
+				return waveAvoid
+			}
+		}
+	}
+	return 0
+}
+
+// Maintained takes the result of an order for maintenance.
+func (c *Core) Maintained(a Maintain, r MachineResult, now time.Time) {
+	w := c.waves[a.Wave]
+	c.config.Log.Info("maintenance ordered", "machine", a.Machine, "wave", a.Wave, "result", r)
+	if w == nil {
+		return
+	}
+	t := w.taken[a.Machine]
+	switch r {
+	case MachineDone:
+		w.begun[a.Machine] = true
+		if t != nil {
+			c.machineLeft(t.vm, now)
+		}
+	case MachineBusy, MachineWrong:
+		if t != nil {
+			c.keep(t.vm, false)
+			delete(w.taken, a.Machine)
+		}
+	case MachineUnanswered, MachineRefused, MachineFenced:
+	}
+}
+
+// machineLeft takes note that a VM has ended with its machine's order.
+func (c *Core) machineLeft(id string, now time.Time) {
+	v := c.vms[id]
+	if v == nil {
+		return
+	}
+	for _, r := range v.list() {
+		c.ended(r, Lapsed, "", now)
+	}
+}
+
+// MachineResult is what came of an order for a machine.
+type MachineResult int
+
+// The results of orders for machines.
+const (
+	MachineDone MachineResult = iota
+	MachineBusy
+	MachineWrong
+	MachineFenced
+	MachineUnanswered
+	MachineRefused
+)
+
+var machineResults = [...]string{"done", "busy", "wrong", "fenced", "unanswered", "refused"}
+
+func (r MachineResult) String() string { return machineResults[r] }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"almondcove/platform"
+	"almondcove/etcd"
 )
 
 // The faults of the platform.
@@ -42,10 +42,10 @@
 func NewPlatform() *Platform {
 	p := &Platform{mux: http.NewServeMux(), store: newStore(), wake: make(chan struct{})}
 	p.faults = newFaults(p.fault, faultDown, faultSlow, faultLost, faultLapse, faultRewind)
-	handle(p, "/v3/kv/range", func(in *platform.RangeRequest) any { return p.store.scan(in) })
+	handle(p, "/v3/kv/range", func(in *etcd.RangeRequest) any { return p.store.scan(in) })
 	handle(p, "/v3/kv/put", p.put)
 	handle(p, "/v3/kv/deleterange", p.remove)
-	handle(p, "/v3/kv/txn", func(in *platform.TxnRequest) any { return p.store.txn(in, time.Now()) })
+	handle(p, "/v3/kv/txn", func(in *etcd.TxnRequest) any { return p.store.txn(in, time.Now()) })
 	handle(p, "/v3/lease/grant", p.grant)
 	handle(p, "/v3/lease/keepalive", p.keepAlive)
 	handle(p, "/v3/lease/revoke", p.revoke)
@@ -63,7 +63,7 @@
 func (p *Platform) Put(key string, value []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.store.put(&platform.PutRequest{Key: []byte(key), Value: value}, p.store.rev+1, time.Now())
+	p.store.put(&etcd.PutRequest{Key: []byte(key), Value: value}, p.store.rev+1, time.Now())
 	p.changed()
 }
 
@@ -109,7 +109,7 @@
 		}
 		var in T
 		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-			reply(w, http.StatusBadRequest, platform.ErrorResponse{Code: 3, Message: err.Error()})
+			reply(w, http.StatusBadRequest, etcd.ErrorResponse{Code: 3, Message: err.Error()})
 			return
 		}
 		p.mu.Lock()
@@ -152,29 +152,29 @@
 	panic(http.ErrAbortHandler)
 }
 
-func (p *Platform) put(in *platform.PutRequest) any {
+func (p *Platform) put(in *etcd.PutRequest) any {
 	p.store.put(in, p.store.rev+1, time.Now())
-	return platform.PutResponse{Header: platform.Header{Revision: p.store.rev}}
+	return etcd.PutResponse{Header: etcd.Header{Revision: p.store.rev}}
 }
 
-func (p *Platform) remove(in *platform.DeleteRequest) any {
+func (p *Platform) remove(in *etcd.DeleteRequest) any {
 	n := p.store.remove(in, p.store.rev+1, time.Now())
-	return platform.DeleteResponse{Header: platform.Header{Revision: p.store.rev}, Deleted: n}
+	return etcd.DeleteResponse{Header: etcd.Header{Revision: p.store.rev}, Deleted: n}
 }
 
-func (p *Platform) grant(in *platform.GrantRequest) any {
+func (p *Platform) grant(in *etcd.GrantRequest) any {
 	id := p.store.grant(time.Duration(in.TTL)*time.Second, time.Now())
-	return platform.LeaseResponse{ID: id, TTL: in.TTL}
+	return etcd.LeaseResponse{ID: id, TTL: in.TTL}
 }
 
-func (p *Platform) keepAlive(in *platform.LeaseRequest) any {
+func (p *Platform) keepAlive(in *etcd.LeaseRequest) any {
 	ttl := p.store.renew(in.ID, time.Now())
-	return platform.KeepAliveResponse{Result: &platform.LeaseResponse{ID: in.ID, TTL: int64(ttl / time.Second)}}
+	return etcd.KeepAliveResponse{Result: &etcd.LeaseResponse{ID: in.ID, TTL: int64(ttl / time.Second)}}
 }
 
-func (p *Platform) revoke(in *platform.LeaseRequest) any {
+func (p *Platform) revoke(in *etcd.LeaseRequest) any {
 	p.store.revoke(in.ID, time.Now())
-	return platform.LeaseResponse{ID: in.ID}
+	return etcd.LeaseResponse{ID: in.ID}
 }
 
 // watch streams the events of a range of keys.
@@ -182,9 +182,9 @@
 	if !p.admit(w, r) {
 		return
 	}
-	var in platform.WatchRequest
+	var in etcd.WatchRequest
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
-		reply(w, http.StatusBadRequest, platform.ErrorResponse{Code: 3, Message: err.Error()})
+		reply(w, http.StatusBadRequest, etcd.ErrorResponse{Code: 3, Message: err.Error()})
 		return
 	}
 	p.mu.Lock()
@@ -195,9 +195,9 @@
 	}
 	p.mu.Unlock()
 	stream := json.NewEncoder(w)
-	result := platform.WatchResult{Created: true}
+	result := etcd.WatchResult{Created: true}
 	for {
-		if err := stream.Encode(platform.WatchResponse{Result: &result}); err != nil {
+		if err := stream.Encode(etcd.WatchResponse{Result: &result}); err != nil {
 			return
 		}
 		if err := http.NewResponseController(w).Flush(); err != nil || result.Canceled {
@@ -211,13 +211,13 @@
 			return
 		}
 		next = rev + 1
-		result = platform.WatchResult{Header: platform.Header{Revision: rev}, Events: events}
+		result = etcd.WatchResult{Header: etcd.Header{Revision: rev}, Events: events}
 	}
 }
 
 // await blocks until there are events from revision next on. It returns no
 // events when the request ended, and false when the history was rewound.
-func (p *Platform) await(r *http.Request, age int, next int64, c platform.WatchCreate) ([]platform.Event, int64, bool) {
+func (p *Platform) await(r *http.Request, age int, next int64, c etcd.WatchCreate) ([]etcd.Event, int64, bool) {
 	for {
 		p.mu.Lock()
 		p.store.expire(time.Now(), false)
--- a/standin/register.go
+++ b/standin/register.go
@@ -9,7 +9,7 @@
 
 	"almondcove/network"
 	"almondcove/peer"
-	"almondcove/platform"
+	"almondcove/etcd"
 )
 
 // registerPause is the time between tries to reach the platform.
@@ -32,7 +32,7 @@
 
 // Register puts a VM into the platform's list, as the platform itself would,
 // and tries until it is done or ctx ends.
-func Register(ctx context.Context, c *platform.Client, prefix string, v peer.VM) {
+func Register(ctx context.Context, c *etcd.Client, prefix string, v peer.VM) {
 	for c.Put(ctx, ListKey(prefix, v.Centre, v.Name), ListEntry(v)) != nil {
 		timer := time.NewTimer(registerPause)
 		select {
--- a/standin/store.go
+++ b/standin/store.go
@@ -5,14 +5,14 @@
 	"sort"
 	"time"
 
-	"almondcove/platform"
+	"almondcove/etcd"
 )
 
 // store is a key-value store with revisions, leases and history. It is not
 // safe for concurrent use.
 type store struct {
 	rev    int64
-	keys   map[string]platform.KV
+	keys   map[string]etcd.KV
 	log    []logged
 	leases map[int64]*lease
 	lease  int64
@@ -22,8 +22,8 @@
 type logged struct {
 	at    time.Time
 	rev   int64
-	event platform.Event
-	old   *platform.KV
+	event etcd.Event
+	old   *etcd.KV
 }
 
 // revived is the time to live of a lease that a rewind brings back.
@@ -35,11 +35,11 @@
 }
 
 func newStore() *store {
-	return &store{rev: 1, keys: make(map[string]platform.KV), leases: make(map[int64]*lease)}
+	return &store{rev: 1, keys: make(map[string]etcd.KV), leases: make(map[int64]*lease)}
 }
 
-func (s *store) scan(r *platform.RangeRequest) *platform.RangeResponse {
-	out := &platform.RangeResponse{Header: platform.Header{Revision: s.rev}}
+func (s *store) scan(r *etcd.RangeRequest) *etcd.RangeResponse {
+	out := &etcd.RangeResponse{Header: etcd.Header{Revision: s.rev}}
 	if len(r.End) == 0 {
 		if kv, ok := s.keys[string(r.Key)]; ok {
 			out.KVs = append(out.KVs, kv)
@@ -64,11 +64,11 @@
 }
 
 // txn runs a transaction at one new revision.
-func (s *store) txn(t *platform.TxnRequest, now time.Time) *platform.TxnResponse {
+func (s *store) txn(t *etcd.TxnRequest, now time.Time) *etcd.TxnResponse {
 	return s.txnAt(t, s.rev+1, now)
 }
 
-func (s *store) txnAt(t *platform.TxnRequest, rev int64, now time.Time) *platform.TxnResponse {
+func (s *store) txnAt(t *etcd.TxnRequest, rev int64, now time.Time) *etcd.TxnResponse {
 	ok := true
 	for _, c := range t.Compare {
 		ok = ok && s.holds(c)
@@ -77,7 +77,7 @@
 	if !ok {
 		ops = t.Failure
 	}
-	out := &platform.TxnResponse{Succeeded: ok}
+	out := &etcd.TxnResponse{Succeeded: ok}
 	for _, op := range ops {
 		out.Responses = append(out.Responses, s.run(op, rev, now))
 	}
@@ -85,50 +85,50 @@
 	return out
 }
 
-func (s *store) holds(c platform.Compare) bool {
+func (s *store) holds(c etcd.Compare) bool {
 	kv := s.keys[string(c.Key)]
 	switch c.Target {
-	case platform.TargetMod:
+	case etcd.TargetMod:
 		return kv.Mod == c.Mod
-	case platform.TargetVersion:
+	case etcd.TargetVersion:
 		return kv.Version == c.Version
-	case platform.TargetValue:
+	case etcd.TargetValue:
 		return kv.Version > 0 && bytes.Equal(kv.Value, c.Value)
 	}
 	return false
 }
 
-func (s *store) run(op platform.Op, rev int64, now time.Time) platform.OpResponse {
+func (s *store) run(op etcd.Op, rev int64, now time.Time) etcd.OpResponse {
 	switch {
 	case op.Txn != nil:
-		return platform.OpResponse{Txn: s.txnAt(op.Txn, rev, now)}
+		return etcd.OpResponse{Txn: s.txnAt(op.Txn, rev, now)}
 	case op.Put != nil:
 		s.put(op.Put, rev, now)
-		return platform.OpResponse{Put: &platform.PutResponse{}}
+		return etcd.OpResponse{Put: &etcd.PutResponse{}}
 	case op.Delete != nil:
 		n := s.remove(op.Delete, rev, now)
-		return platform.OpResponse{Delete: &platform.DeleteResponse{Deleted: n}}
+		return etcd.OpResponse{Delete: &etcd.DeleteResponse{Deleted: n}}
 	case op.Range != nil:
-		return platform.OpResponse{Range: s.scan(op.Range)}
+		return etcd.OpResponse{Range: s.scan(op.Range)}
 	}
-	return platform.OpResponse{}
+	return etcd.OpResponse{}
 }
 
-func (s *store) put(p *platform.PutRequest, rev int64, now time.Time) {
-	kv := platform.KV{Key: p.Key, Value: p.Value, Lease: p.Lease, Created: rev, Mod: rev, Version: 1}
+func (s *store) put(p *etcd.PutRequest, rev int64, now time.Time) {
+	kv := etcd.KV{Key: p.Key, Value: p.Value, Lease: p.Lease, Created: rev, Mod: rev, Version: 1}
 	if old, ok := s.keys[string(p.Key)]; ok {
 		kv.Created = old.Created
 		kv.Version = old.Version + 1
 	}
-	s.write(platform.NewEvent(kv, false), rev, now)
+	s.write(etcd.NewEvent(kv, false), rev, now)
 	s.keys[string(p.Key)] = kv
 }
 
-func (s *store) remove(d *platform.DeleteRequest, rev int64, now time.Time) int64 {
+func (s *store) remove(d *etcd.DeleteRequest, rev int64, now time.Time) int64 {
 	var n int64
 	for key, kv := range s.keys {
 		if within(kv.Key, d.Key, d.End) {
-			s.write(platform.NewEvent(platform.KV{Key: kv.Key, Mod: rev}, true), rev, now)
+			s.write(etcd.NewEvent(etcd.KV{Key: kv.Key, Mod: rev}, true), rev, now)
 			delete(s.keys, key)
 			n++
 		}
@@ -137,7 +137,7 @@
 }
 
 // write logs an event with what it replaces.
-func (s *store) write(e platform.Event, rev int64, now time.Time) {
+func (s *store) write(e etcd.Event, rev int64, now time.Time) {
 	entry := logged{at: now, rev: rev, event: e}
 	if old, ok := s.keys[string(e.KV.Key)]; ok {
 		entry.old = &old
@@ -174,9 +174,9 @@
 }
 
 // events returns the events from revision start on for a range of keys.
-func (s *store) events(start int64, key, end []byte) []platform.Event {
+func (s *store) events(start int64, key, end []byte) []etcd.Event {
 	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].rev >= start })
-	var out []platform.Event
+	var out []etcd.Event
 	for _, l := range s.log[i:] {
 		if within(l.event.KV.Key, key, end) {
 			out = append(out, l.event)
@@ -214,7 +214,7 @@
 	delete(s.leases, id)
 	for _, kv := range s.keys {
 		if kv.Lease == id {
-			s.remove(&platform.DeleteRequest{Key: kv.Key}, s.rev+1, now)
+			s.remove(&etcd.DeleteRequest{Key: kv.Key}, s.rev+1, now)
 		}
 	}
 }
