--- a/owner/owner.go
+++ b/owner/owner.go
@@ -516,6 +516,7 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
 	defer cancel()
+	asked := time.Now()
 	list, err := o.config.Machines.List(ctx)
 	if err != nil {
 		o.config.Log.Warn("machines not listed", "error", err)
@@ -524,7 +525,7 @@
 	var states []schedule.WaveState
 	var pressing bool
 	o.tell(core, func(time.Time) {
-		core.SetMachines(list)
+		core.SetMachines(list, asked)
 		states = core.WaveStates()
 		pressing = core.Pressing()
 	})
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -47,8 +47,8 @@
 	Hold time.Duration
 	// Stop bounds the time that a run takes to stop.
 	Stop time.Duration
-	// Notice is how long a service task counts as away after it has started anew.
-	Notice time.Duration
+	// Maintenance is how long a machine is away for maintenance.
+	Maintenance time.Duration
 	// Keep is how long a job is kept after its end.
 	Keep time.Duration
 	Log  hclog.Logger
@@ -69,8 +69,10 @@
 	dirty    map[job.ID]*work
 	actions  []Action
 	machines map[string]Machine
-	waves    map[int64]*wave
-	moves    map[string]*move
+	// listed is when the list of machines was asked for.
+	listed time.Time
+	waves  map[int64]*wave
+	moves  map[string]*move
 	// demand follows the work that is asked of each pool.
 	demand map[string]*demand
 	stats  Stats
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -58,7 +58,9 @@
 }
 
 // SetMachines replaces what the platform says of its machines.
-func (c *Core) SetMachines(list []Machine) {
+// The list was asked for at asked.
+func (c *Core) SetMachines(list []Machine, asked time.Time) {
+	c.listed = asked
 	c.machines = make(map[string]Machine, len(list))
 	for _, m := range list {
 		c.machines[m.Name] = m
@@ -203,7 +205,7 @@
 			c.keep(t.vm, false)
 		case !t.ordered.IsZero() && w.begun[name]:
 			// Under maintenance until the platform shows it up again.
-			if m.State == Up && now.Sub(t.ordered) > machineAgain {
+			if m.State == Up && c.listed.Sub(t.ordered) > c.config.Maintenance {
 				delete(w.taken, name)
 				c.keep(t.vm, false)
 			}
@@ -230,7 +232,7 @@
 		step := r.task.stage.step
 		switch {
 		case step.Service:
-			if r.state == running && c.mayMiss(r.task, now) {
+			if r.state == running && c.mayMiss(r.task) {
 				c.stop(r, now)
 			}
 		case step.Saves || now.Sub(t.since) > patience:
@@ -253,19 +255,24 @@
 const maintenanceTime = 2500 * time.Millisecond
 
 // mayMiss reports whether a service task may be taken away by our own act.
-func (c *Core) mayMiss(t *task, now time.Time) bool {
+func (c *Core) mayMiss(t *task) bool {
 	if !t.stage.step.Budgeted {
 		return true
 	}
 	away := 0
 	for _, o := range t.stage.tasks {
-		if o != t && (o.atWork.IsZero() || now.Sub(o.atWork) < c.config.Notice) {
+		if o != t && !o.working() {
 			away++
 		}
 	}
 	return away < t.stage.step.Missing
 }
 
+// working reports whether a run of a service task is at work and not being stopped.
+func (t *task) working() bool {
+	return !t.atWork.IsZero() && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.state == stopping })
+}
+
 // waveCost is what it costs to start a task on a VM whose machine is due.
 func (c *Core) waveCost(v *vm, _ time.Time) float64 {
 	for _, w := range c.waves {
@@ -290,6 +297,7 @@
 	case MachineDone:
 		w.begun[a.Machine] = true
 		if t != nil {
+			t.ordered = now
 			c.machineLeft(t.vm, now)
 		}
 	case MachineBusy, MachineWrong:
