--- a/owner/owner.go
+++ b/owner/owner.go
@@ -35,7 +35,7 @@
 	// orderTimeout bounds an order to a VM.
 	orderTimeout = 800 * time.Millisecond
 	// holdTimeout bounds a hold beyond the time that the VM may wait.
-	holdTimeout = 900 * time.Millisecond
+	holdTimeout = 700 * time.Millisecond
 	// holdGap is the least time between two holds of a VM, so that ends gather.
 	holdGap = 60 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -18,7 +18,7 @@
 	// lateBound is how long after it was sent an order may still be carried out.
 	lateBound = 13 * time.Second
 	// holdWait is how long a VM may wait for an end before it answers a hold.
-	holdWait = 1900 * time.Millisecond
+	holdWait = time.Second
 	// stopAgain is when an order to stop is given once more.
 	stopAgain = 700 * time.Millisecond
 	// unlistedFor is how long a VM may be missing from the list before it counts
@@ -174,7 +174,8 @@
 		h.Wait = holdWait
 	}
 	h.Fence = v.fence(c.epoch)
-	if !v.clockAt.IsZero() {
+	// A silent VM is given no more time, or what it runs could never be taken as ended.
+	if !v.clockAt.IsZero() && !v.silent {
 		h.Until = v.at(now) + c.config.Hold
 		v.granted(now, c.config.Hold)
 	}
@@ -245,6 +246,9 @@
 	if v.silent {
 		c.config.Log.Info("VM answers", "vm", v.ID, "fence", h.Fence, "running", len(r.Running))
 	}
+	if v.silent {
+		c.look(v)
+	}
 	v.silent = false
 	if v.clockAt.IsZero() || r.Clock > v.at(now) {
 		v.clock, v.clockAt = r.Clock, now
