--- a/schedule/core.go
+++ b/schedule/core.go
@@ -283,7 +283,7 @@
 const occurrenceAhead = 2 * time.Second
 
 func (c *Core) openStage(w *work, id job.Stage, due time.Time) {
-	if w.stages[id] != nil || w.state.StageDone(id) {
+	if w.state.StageDone(id) {
 		return
 	}
 	for _, a := range w.Steps[id.Step].After {
@@ -291,7 +291,16 @@
 			return
 		}
 	}
-	g := &stage{work: w, id: id, step: &w.Steps[id.Step], due: due}
+	c.stage(w, id, due).open = true
+}
+
+// stage returns a stage of a job, which is made if there is none yet.
+func (c *Core) stage(w *work, id job.Stage, due time.Time) *stage {
+	g := w.stages[id]
+	if g != nil {
+		return g
+	}
+	g = &stage{work: w, id: id, step: &w.Steps[id.Step], due: due}
 	w.stages[id] = g
 	for i := range g.step.Count {
 		t := &task{stage: g, id: job.Task{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Index: i}}
@@ -303,6 +312,18 @@
 		}
 	}
 	c.pool(c.view.Queues[w.Queue].Pool).stages[id] = g
+	return g
+}
+
+// taskOf returns a task that an owner before this one may have started, also
+// one whose stage is not known to be open yet.
+func (c *Core) taskOf(w *work, id job.Task) *task {
+	known := id.Step >= 0 && id.Step < len(w.Steps) && id.Index >= 0 && id.Index < w.Steps[id.Step].Count &&
+		id.Occurrence >= 0 && id.Occurrence < w.Occurrences()
+	if !known || w.state.IsDone(id) {
+		return nil
+	}
+	return c.stage(w, id.Stage(), w.Due(id.Occurrence)).tasks[id.Index]
 }
 
 // objective returns when a job has to be completed to be in time.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -142,7 +142,7 @@
 func (c *Core) order(p *pool, now time.Time) []*stage {
 	var out []*stage
 	for _, g := range p.stages {
-		if g.waiting > 0 && !g.due.After(now) {
+		if g.open && g.waiting > 0 && !g.due.After(now) {
 			out = append(out, g)
 		}
 	}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -36,6 +36,8 @@
 	attached bool
 	// silent is set while the last hold was not answered.
 	silent bool
+	// heard is when the last answer to a hold came.
+	heard time.Time
 	// serial is the part of the fence below the epoch, and raise is set when the
 	// next hold has to use a higher one.
 	serial int64
@@ -250,6 +252,7 @@
 		c.look(v)
 	}
 	v.silent = false
+	v.heard = now
 	if v.clockAt.IsZero() || r.Clock > v.at(now) {
 		v.clock, v.clockAt = r.Clock, now
 	} else if now.Sub(v.clockAt) > time.Second {
@@ -322,7 +325,7 @@
 	w := c.jobs[p.Run.Task.Job]
 	var t *task
 	if w != nil && !w.state.Phase().Final() {
-		t = w.task(p.Run.Task)
+		t = c.taskOf(w, p.Run.Task)
 	}
 	if t == nil || t.done || len(t.runs) > 0 && !t.stage.step.Copies {
 		c.config.Log.Info("stray run stopped", "run", p.Run, "vm", v.ID)
@@ -337,15 +340,6 @@
 	v.granted(now, c.config.Hold)
 }
 
-// task returns a task whose stage is open.
-func (w *work) task(id job.Task) *task {
-	g := w.stages[id.Stage()]
-	if g == nil || id.Index < 0 || id.Index >= len(g.tasks) {
-		return nil
-	}
-	return g.tasks[id.Index]
-}
-
 // newRun books a run on a VM.
 func (c *Core) newRun(t *task, v *vm, number int, now time.Time) *run {
 	r := &run{
@@ -407,7 +401,7 @@
 	if w == nil || w.state.Phase().Final() {
 		return
 	}
-	t := w.task(e.Run.Task)
+	t := c.taskOf(w, e.Run.Task)
 	if t == nil {
 		return
 	}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -232,7 +232,7 @@
 		step := r.task.stage.step
 		switch {
 		case step.Service:
-			if r.state == running && c.mayMiss(r.task) {
+			if r.state == running && c.mayMiss(r.task, now) {
 				c.stop(r, now)
 			}
 		case step.Saves || now.Sub(t.since) > patience:
@@ -255,22 +255,28 @@
 const maintenanceTime = 2500 * time.Millisecond
 
 // mayMiss reports whether a service task may be taken away by our own act.
-func (c *Core) mayMiss(t *task) bool {
+func (c *Core) mayMiss(t *task, now time.Time) bool {
 	if !t.stage.step.Budgeted {
 		return true
 	}
 	away := 0
 	for _, o := range t.stage.tasks {
-		if o != t && !o.working() {
+		if o != t && !o.working(now) {
 			away++
 		}
 	}
 	return away < t.stage.step.Missing
 }
 
-// working reports whether a run of a service task is at work and not being stopped.
-func (t *task) working() bool {
-	return !t.atWork.IsZero() && !slices.ContainsFunc(t.runs, func(r *run) bool { return r.state == stopping })
+// freshFor is how long after a VM's last answer its tasks count as at work.
+const freshFor = 2500 * time.Millisecond
+
+// working reports whether a service task is at work, as far as is known, and
+// not being stopped.
+func (t *task) working(now time.Time) bool {
+	return !t.atWork.IsZero() && !slices.ContainsFunc(t.runs, func(r *run) bool {
+		return r.state == stopping || r.vm.silent || now.Sub(r.vm.heard) > freshFor
+	})
 }
 
 // waveCost is what it costs to start a task on a VM whose machine is due.
