--- a/command/serve.go
+++ b/command/serve.go
@@ -11,10 +11,10 @@
 
 	"almondcove/demo"
 	"almondcove/entry"
+	"almondcove/etcd"
 	"almondcove/network"
 	"almondcove/node"
 	"almondcove/peer"
-	"almondcove/etcd"
 	"almondcove/settings"
 	"almondcove/standin"
 )
--- a/entry/change.go
+++ b/entry/change.go
@@ -9,8 +9,8 @@
 
 	"github.com/go-faster/errors"
 
-	"almondcove/fleet"
 	"almondcove/etcd"
+	"almondcove/fleet"
 	"almondcove/timeline"
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,10 +35,10 @@
 	"google.golang.org/grpc"
 
 	"almondcove/dispatch"
+	"almondcove/etcd"
 	"almondcove/fleet"
 	"almondcove/network"
 	"almondcove/peer"
-	"almondcove/etcd"
 	"almondcove/timeline"
 	"almondcove/upstream"
 )
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"almondcove/dispatch"
-	"almondcove/limit"
 	"almondcove/etcd"
+	"almondcove/limit"
 	"almondcove/task"
 	"almondcove/timeline"
 	"almondcove/upstream"
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -7,9 +7,9 @@
 	"sync"
 	"time"
 
+	"almondcove/etcd"
 	"almondcove/fleet"
 	"almondcove/peer"
-	"almondcove/etcd"
 	"almondcove/timeline"
 )
 
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -13,10 +13,10 @@
 	"github.com/go-faster/errors"
 
 	"almondcove/dispatch"
+	"almondcove/etcd"
 	"almondcove/fleet"
 	"almondcove/limit"
 	"almondcove/peer"
-	"almondcove/etcd"
 	"almondcove/timeline"
 )
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -36,6 +36,8 @@
 const (
 	firstPause = 20 * time.Millisecond
 	mostPause  = 250 * time.Millisecond
+	// tryTimeout bounds one try; the outcome is then looked up.
+	tryTimeout = 1300 * time.Millisecond
 )
 
 // Tail is the record that guards the ledger.
@@ -179,6 +181,8 @@
 
 // try sends the batch once and reports whether it is now written.
 func (l *Ledger) try(ctx context.Context, puts []store.Put, b Batch) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
 	held := l.held()
 	next := held.Tail
 	next.Count++
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -252,7 +252,7 @@
 
 // begin makes a core of the records.
 func (o *Owner) begin(t shard.Term, content ledger.Content, began time.Time) error {
-	var fleet []schedule.VM
+	var fleet schedule.Fleet
 	if content.Fleet != nil {
 		if err := json.Unmarshal(content.Fleet, &fleet); err != nil {
 			return &store.Invalid{Call: "fleet", Cause: err}
@@ -278,7 +278,7 @@
 	}
 	o.active = true
 	o.keepSessions()
-	o.config.Log.Info("records read", "epoch", t.Epoch, "jobs", len(content.Jobs), "vms", len(fleet), "took", time.Since(began))
+	o.config.Log.Info("records read", "epoch", t.Epoch, "jobs", len(content.Jobs), "vms", len(fleet.VMs), "took", time.Since(began))
 	wake(o.plan)
 	wake(o.commit)
 	return nil
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -82,12 +82,23 @@
 type JobLinks struct {
 	dial Dial
 	mu   sync.Mutex
-	open map[netip.AddrPort]*grpc.ClientConn
+	open map[netip.AddrPort]*link
 }
 
+// link is the connection to one entry.
+type link struct {
+	conn *grpc.ClientConn
+	// heard is when it was opened or the last answer came.
+	heard time.Time
+}
+
+// linkMute is how long a link may have answered nothing, when a call on it
+// times out, before it is opened anew.
+const linkMute = 700 * time.Millisecond
+
 // NewJobLinks returns links that open connections with dial.
 func NewJobLinks(dial Dial) *JobLinks {
-	return &JobLinks{dial: dial, open: make(map[netip.AddrPort]*grpc.ClientConn)}
+	return &JobLinks{dial: dial, open: make(map[netip.AddrPort]*link)}
 }
 
 // Close closes all links.
@@ -98,7 +109,7 @@
 	l.mu.Unlock()
 	for _, c := range open {
 		// A link that fails to close is gone all the same.
-		_ = c.Close()
+		_ = c.conn.Close()
 	}
 }
 
@@ -106,7 +117,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if c := l.open[to]; c != nil {
-		return wire.NewJobsClient(c), nil
+		return wire.NewJobsClient(c.conn), nil
 	}
 	if l.open == nil {
 		return nil, &Unanswered{Peer: to, Cause: net.ErrClosed}
@@ -125,19 +136,32 @@
 	if err != nil {
 		return nil, &Unanswered{Peer: to, Cause: err}
 	}
-	l.open[to] = c
+	l.open[to] = &link{conn: c, heard: time.Now()}
 	return wire.NewJobsClient(c), nil
 }
 
-// Drop closes the link to an entry, so that the next call opens a new one.
-func (l *JobLinks) Drop(to netip.AddrPort) {
+// answered notes that an entry has answered.
+func (l *JobLinks) answered(to netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.open[to]; c != nil {
+		c.heard = time.Now()
+	}
+}
+
+// timedOut closes the link to an entry that answers nothing any more, so that
+// the next call opens a new one: the connection may have gone silent.
+func (l *JobLinks) timedOut(to netip.AddrPort) {
 	l.mu.Lock()
 	c := l.open[to]
-	delete(l.open, to)
+	mute := c != nil && time.Since(c.heard) > linkMute
+	if mute {
+		delete(l.open, to)
+	}
 	l.mu.Unlock()
-	if c != nil {
+	if mute {
 		// A link that fails to close is gone all the same.
-		_ = c.Close()
+		_ = c.conn.Close()
 	}
 }
 
@@ -150,11 +174,11 @@
 	}
 	r, err := f(c, q)
 	if err == nil {
+		l.answered(to)
 		return r, nil
 	}
 	if status.Code(err) == codes.DeadlineExceeded {
-		// The connection may have gone silent.
-		l.Drop(to)
+		l.timedOut(to)
 	}
 	return none, &Unanswered{Peer: to, Cause: err, Sent: status.Code(err) != codes.Unavailable || !neverSent(err)}
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -152,6 +152,8 @@
 		return relayed{}, &store.Unavailable{Call: name, Cause: &Unanswered{Cause: context.Canceled}}
 	}
 	to := peers[rand.IntN(len(peers))]
+	ctx, cancel := context.WithTimeout(ctx, directTimeout+q.Wait)
+	defer cancel()
 	body, err := json.Marshal(q)
 	if err != nil {
 		return relayed{}, &store.Invalid{Call: name, Cause: err}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -78,6 +78,8 @@
 	stats  Stats
 	// serial is the last counter used below the epoch in a fence.
 	serial int64
+	// begun is the record of waves that an owner before this one has begun.
+	begun map[int64][]string
 	// fleetChanged is set when the record of VMs is out of date.
 	fleetChanged bool
 }
@@ -392,7 +394,7 @@
 	States  []StateRecord
 	Removed []job.ID
 	// Fleet lists the VMs that may run tasks; nil when that is recorded already.
-	Fleet []VM
+	Fleet *Fleet
 	seen  map[*vm]seen
 }
 
@@ -430,7 +432,8 @@
 	}
 	if c.fleetChanged {
 		c.fleetChanged = false
-		out.Fleet = c.Fleet()
+		fleet := c.Fleet()
+		out.Fleet = &fleet
 	}
 	if len(c.dirty) == 0 {
 		out.seen = make(map[*vm]seen, len(c.vms))
@@ -473,7 +476,10 @@
 	for _, id := range r.Removed {
 		delete(c.jobs, id)
 	}
-	for _, l := range r.Fleet {
+	if r.Fleet == nil {
+		return
+	}
+	for _, l := range r.Fleet.VMs {
 		if v := c.vms[l.ID]; v != nil {
 			v.recorded = true
 		}
@@ -490,8 +496,28 @@
 	c.fleetChanged = c.fleetChanged || r.Fleet != nil
 }
 
-// Fleet returns the ids and addresses of the VMs that may run tasks.
-func (c *Core) Fleet() []VM {
+// Fleet is what the next owner has to know beside the jobs.
+type Fleet struct {
+	// VMs lists the VMs that may run tasks.
+	VMs []VM `json:"vms"`
+	// Begun lists the machines of each wave whose maintenance has begun.
+	Begun map[int64][]string `json:"begun,omitempty"`
+}
+
+// Fleet returns what is to be recorded beside the jobs.
+func (c *Core) Fleet() Fleet {
+	out := Fleet{VMs: c.Sessions(), Begun: make(map[int64][]string)}
+	for n, w := range c.waves {
+		for m := range w.begun {
+			out.Begun[n] = append(out.Begun[n], m)
+		}
+		slices.Sort(out.Begun[n])
+	}
+	return out
+}
+
+// Sessions returns the VMs with which a session is to be kept.
+func (c *Core) Sessions() []VM {
 	out := make([]VM, 0, len(c.vms))
 	for _, v := range c.vms {
 		out = append(out, v.VM)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -18,10 +18,18 @@
 	until time.Time
 }
 
-// Gate closes the pools of the VMs that the owner before may have used. Each
-// opens when all of its VMs have answered, or at until.
-func (c *Core) Gate(fleet []VM, until time.Time) {
-	for _, l := range fleet {
+// Gate takes over the record of the owner before. It closes the pools of the VMs
+// that may run tasks; each opens when all of its VMs have answered, or at until.
+func (c *Core) Gate(f Fleet, until time.Time) {
+	c.begun = f.Begun
+	for n, machines := range f.Begun {
+		if w := c.waves[n]; w != nil {
+			for _, m := range machines {
+				w.begun[m] = true
+			}
+		}
+	}
+	for _, l := range f.VMs {
 		if c.vms[l.ID] == nil {
 			c.addVM(l).recorded = true
 		}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -157,9 +157,6 @@
 	}
 }
 
-// Sessions returns the VMs with which a session is to be kept.
-func (c *Core) Sessions() []VM { return c.Fleet() }
-
 // Hold prepares the next hold of a VM. It reports false for a VM that is gone.
 func (c *Core) Hold(id string, now time.Time) (Hold, bool) {
 	v := c.vms[id]
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -26,7 +26,6 @@
 	// that are being emptied or are under maintenance.
 	begun map[string]bool
 	taken map[string]*take
-	told  bool
 }
 
 // take is one machine of a wave on its way.
@@ -36,6 +35,10 @@
 	ordered time.Time
 	// vm is the id of the VM that ran on the machine.
 	vm string
+	// unsure is set while an order without an answer may still be carried out.
+	unsure bool
+	// denied is when the platform last refused the order; zero means never.
+	denied time.Time
 }
 
 // setWaves takes the waves that are asked for.
@@ -47,7 +50,11 @@
 			known.Wave = w
 			continue
 		}
-		c.waves[w.Number] = &wave{Wave: w, first: now, begun: make(map[string]bool), taken: make(map[string]*take)}
+		fresh := &wave{Wave: w, first: now, begun: make(map[string]bool), taken: make(map[string]*take)}
+		for _, m := range c.begun[w.Number] {
+			fresh.begun[m] = true
+		}
+		c.waves[w.Number] = fresh
 		c.config.Log.Info("wave", "wave", w.Number, "machines", len(w.Machines), "within", w.Within, "cap", w.Cap)
 	}
 	for n := range c.waves {
@@ -93,15 +100,6 @@
 	return out
 }
 
-// SetBegun takes over the record of machines whose maintenance has begun.
-func (c *Core) SetBegun(number int64, machines []string) {
-	if w := c.waves[number]; w != nil {
-		for _, m := range machines {
-			w.begun[m] = true
-		}
-	}
-}
-
 // complete reports whether every machine of a wave that is still there has
 // begun its maintenance.
 func (c *Core) complete(w *wave) bool {
@@ -120,7 +118,7 @@
 func (c *Core) planWaves(now time.Time) {
 	for _, w := range c.sortedWaves() {
 		c.advance(w, now)
-		for len(w.taken) < max(w.Cap, 1) {
+		for c.away(w) < max(w.Cap, 1) {
 			name, ok := c.nextMachine(w, now)
 			if !ok {
 				break
@@ -134,6 +132,18 @@
 	}
 }
 
+// away returns how many machines of a wave are taken, or under maintenance that
+// an owner before this one has ordered.
+func (c *Core) away(w *wave) int {
+	n := len(w.taken)
+	for _, name := range w.Machines {
+		if w.taken[name] == nil && c.machines[name].State == InMaintenance {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Core) sortedWaves() []*wave {
 	out := make([]*wave, 0, len(c.waves))
 	for _, w := range c.waves {
@@ -198,27 +208,32 @@
 func (c *Core) advance(w *wave, now time.Time) {
 	for name, t := range w.taken {
 		m, there := c.machines[name]
-		v := c.vms[t.vm]
 		switch {
 		case !there:
-			delete(w.taken, name)
-			c.keep(t.vm, false)
-		case !t.ordered.IsZero() && w.begun[name]:
-			// Under maintenance until the platform shows it up again.
+			c.giveBack(w, name)
+		case w.begun[name]:
 			if m.State == Up && c.listed.Sub(t.ordered) > c.config.Maintenance {
-				delete(w.taken, name)
-				c.keep(t.vm, false)
+				c.giveBack(w, name)
 			}
-		case !t.ordered.IsZero():
-			if now.Sub(t.ordered) > machineAgain {
+		case t.ordered.IsZero():
+			if v := c.vms[t.vm]; v == nil || c.empty(v, t, w, now) {
 				c.orderMaintenance(w, t, name, now)
 			}
-		case v == nil || c.empty(v, t, w, now):
+		case !t.denied.IsZero() && !t.unsure && c.listed.After(t.denied) && m.State == Up:
+			// It was busy for another reason, such as leaving.
+			c.giveBack(w, name)
+		case now.Sub(t.ordered) > machineAgain:
 			c.orderMaintenance(w, t, name, now)
 		}
 	}
 }
 
+// giveBack ends what a wave had to do with a machine.
+func (c *Core) giveBack(w *wave, name string) {
+	c.keep(w.taken[name].vm, false)
+	delete(w.taken, name)
+}
+
 func (c *Core) orderMaintenance(w *wave, t *take, name string, now time.Time) {
 	t.ordered = now
 	c.actions = append(c.actions, Maintain{Machine: name, Wave: w.Number})
@@ -293,36 +308,22 @@
 
 // Maintained takes the result of an order for maintenance.
 func (c *Core) Maintained(a Maintain, r MachineResult, now time.Time) {
-	w := c.waves[a.Wave]
 	c.config.Log.Info("maintenance ordered", "machine", a.Machine, "wave", a.Wave, "result", r)
-	if w == nil {
+	w := c.waves[a.Wave]
+	if w == nil || w.taken[a.Machine] == nil {
 		return
 	}
 	t := w.taken[a.Machine]
 	switch r {
 	case MachineDone:
+		t.ordered = now
 		w.begun[a.Machine] = true
-		if t != nil {
-			t.ordered = now
-			c.machineLeft(t.vm, now)
-		}
+		c.fleetChanged = true
+	case MachineUnanswered:
+		t.unsure = true
 	case MachineBusy, MachineWrong:
-		if t != nil {
-			c.keep(t.vm, false)
-			delete(w.taken, a.Machine)
-		}
-	case MachineUnanswered, MachineRefused, MachineFenced:
-	}
-}
-
-// machineLeft takes note that a VM has ended with its machine's order.
-func (c *Core) machineLeft(id string, now time.Time) {
-	v := c.vms[id]
-	if v == nil {
-		return
-	}
-	for _, r := range v.list() {
-		c.ended(r, Lapsed, "", now)
+		t.denied = now
+	case MachineRefused, MachineFenced:
 	}
 }
 
--- a/standin/register.go
+++ b/standin/register.go
@@ -7,9 +7,9 @@
 	"net/netip"
 	"time"
 
+	"almondcove/etcd"
 	"almondcove/network"
 	"almondcove/peer"
-	"almondcove/etcd"
 )
 
 // registerPause is the time between tries to reach the platform.
