--- a/schedule/core.go
+++ b/schedule/core.go
@@ -49,6 +49,8 @@
 	Stop time.Duration
 	// Maintenance is how long a machine is away for maintenance.
 	Maintenance time.Duration
+	// Move is how long a machine is away when it moves to another pool.
+	Move time.Duration
 	// Keep is how long a job is kept after its end.
 	Keep time.Duration
 	Log  hclog.Logger
@@ -320,9 +322,7 @@
 // taskOf returns a task that an owner before this one may have started, also
 // one whose stage is not known to be open yet.
 func (c *Core) taskOf(w *work, id job.Task) *task {
-	known := id.Step >= 0 && id.Step < len(w.Steps) && id.Index >= 0 && id.Index < w.Steps[id.Step].Count &&
-		id.Occurrence >= 0 && id.Occurrence < w.Occurrences()
-	if !known || w.state.IsDone(id) {
+	if !w.has(id) || w.state.IsDone(id) {
 		return nil
 	}
 	return c.stage(w, id.Stage(), w.Due(id.Occurrence)).tasks[id.Index]
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -200,7 +200,7 @@
 }
 
 func (c *Core) takes(v *vm, now time.Time) bool {
-	return v.attached && v.recorded && v.listed && !v.silent && !v.raise && !v.Draining && !v.kept &&
+	return v.attached && v.recorded && v.listed && !v.silent && !v.raise && !v.stray && !v.Draining && !v.kept &&
 		!c.view.Out[v.Centre] && v.health.open(now)
 }
 
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -75,7 +75,9 @@
 	Pool  string
 	State MachineState
 	// VM is the id of the machine's VM; empty when it has none.
-	VM string
+	VM       string
+	Centre   string
+	Capacity job.Resources
 }
 
 // MachineState is the state of a machine.
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -57,6 +57,8 @@
 	recorded bool
 	// past holds the starts of the VM's earlier processes.
 	past map[time.Time]bool
+	// stray is set while the VM runs something that the core knows nothing of.
+	stray bool
 	// kept is set while nothing new may start because the machine is to be taken.
 	kept bool
 	// urged is set when a hold was asked for and has not been prepared yet.
@@ -304,6 +306,7 @@
 			c.ended(r, Unknown, "", now)
 		}
 	}
+	v.stray = false
 	for _, p := range report.Running {
 		if v.runs[p.Run] == nil {
 			c.adopt(v, p, now)
@@ -317,24 +320,46 @@
 	}
 }
 
-// adopt takes a run that an owner before this one has started, or stops it.
+// adopt takes a run that an owner before this one has started. One that must not
+// go on is stopped; until it has ended it takes up room like any other.
 func (c *Core) adopt(v *vm, p Progress, now time.Time) {
 	w := c.jobs[p.Run.Task.Job]
-	var t *task
-	if w != nil && !w.state.Phase().Final() {
-		t = c.taskOf(w, p.Run.Task)
-	}
-	if t == nil || t.done || len(t.runs) > 0 && !t.stage.step.Copies {
+	if w == nil || !w.has(p.Run.Task) {
 		c.config.Log.Info("stray run stopped", "run", p.Run, "vm", v.ID)
+		v.stray = true
 		c.actions = append(c.actions, Stop{VM: v.ID, Run: p.Run, Fence: v.fence(c.epoch)})
 		return
 	}
+	var t *task
+	if !w.state.Phase().Final() {
+		t = c.taskOf(w, p.Run.Task)
+	}
+	wanted := t != nil && (len(t.runs) == 0 || t.stage.step.Copies)
+	if !wanted {
+		t = ghost(w, p.Run.Task)
+	}
 	r := c.newRun(t, v, p.Run.Number, now)
 	r.state = running
 	r.checkpoint, r.percent, r.load = p.Checkpoint, p.Percent, p.Load
-	r.pace = fullPace
-	w.state.Start()
 	v.granted(now, c.config.Hold)
+	if !wanted {
+		c.config.Log.Info("unwanted run stopped", "run", p.Run, "vm", v.ID, "phase", w.state.Phase())
+		c.stop(r, now)
+		return
+	}
+	w.state.Start()
+}
+
+// ghost returns a task that stands for a run which is only to be stopped.
+func ghost(w *work, id job.Task) *task {
+	g := &stage{work: w, id: id.Stage(), step: &w.Steps[id.Step]}
+	return &task{stage: g, id: id, done: true}
+}
+
+// has reports whether the job has such a task.
+func (w *work) has(id job.Task) bool {
+	return id.Step >= 0 && id.Step < len(w.Steps) && id.Index >= 0 && id.Index < w.Steps[id.Step].Count &&
+		id.Occurrence >= 0 && id.Occurrence < w.Occurrences()
 }
 
 // newRun books a run on a VM.
