Move machines to the pools that lack room; switch off idle ones

Load: queues ask five times their mean by turns. Cause of late jobs: the pool in its turn lacked room while the others' VMs idled.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -75,8 +75,6 @@
 	listed time.Time
 	waves  map[int64]*wave
 	moves  map[string]*move
-	// demand follows the work that is asked of each pool.
-	demand map[string]*demand
 	stats  Stats
 	// serial is the last counter used below the epoch in a fence.
 	serial int64
@@ -191,7 +189,6 @@
 		machines: make(map[string]Machine),
 		waves:    make(map[int64]*wave),
 		moves:    make(map[string]*move),
-		demand:   make(map[string]*demand),
 	}
 }
 
@@ -553,8 +550,3 @@
 		c.config.Log.Info("pace not accepted", "run", p.Run, "vm", p.VM, "result", result)
 	}
 }
-
-// Moved takes the result of an order to move a machine.
-func (c *Core) Moved(m Move, result MachineResult, _ time.Time) {
-	c.config.Log.Info("move ordered", "machine", m.Machine, "pool", m.Pool, "result", result)
-}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -1,15 +1,293 @@
 package schedule
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"almondcove/job"
+)
+
+// The following of demand with machines. It answers loads in which pools ask by
+// turns for several times their mean, while others ask for little.
+const (
+	// headroom is how much more room than its tasks need a pool is given.
+	headroom = 1.05
+	// parkAfter is how long a VM has to be idle in a pool that does not need it
+	// before its machine is switched off.
+	parkAfter = 1500 * time.Millisecond
+	// moveAgain is when an order to move is given once more.
+	moveAgain = 1500 * time.Millisecond
+	// leastVMs is the number of VMs that stay in a pool that asks for nothing.
+	leastVMs = 1
+)
 
 // move is one machine on its way to another pool.
 type move struct {
-	to      string
-	ordered time.Time
+	to       string
+	vm       string
+	capacity job.Resources
+	// since is when the order was first given, ordered when it was last given.
+	since, ordered time.Time
+	// done is when the platform accepted the order; zero means not yet.
+	done time.Time
+	// unsure is set while an order without an answer may still be carried out.
+	unsure bool
+	denied time.Time
+}
+
+// load is what a pool asks for and has.
+type load struct {
+	pool *pool
+	// want is what all its tasks that run or could run need.
+	want job.Resources
+	// have is the room of its VMs, with those on their way.
+	have job.Resources
+	// vms is the number of its VMs, with those on their way.
+	vms int
+	// idle lists its VMs that run nothing, the longest idle first.
+	idle []*vm
+	// urgent is set when tasks of the most urgent queues wait.
+	urgent bool
+}
+
+// missing returns the room that the pool lacks, in processors.
+func (l *load) missing() int64 {
+	return int64(headroom*float64(l.want.CPU)) - l.have.CPU
+}
+
+// short reports whether the pool lacks room.
+func (l *load) short() bool {
+	return l.missing() > 0 || int64(headroom*float64(l.want.Memory)) > l.have.Memory
+}
+
+// spares reports whether the pool can do without a VM.
+func (l *load) spares(v *vm) bool {
+	rest := l.have.Minus(v.Capacity)
+	enough := int64(headroom*float64(l.want.CPU)) <= rest.CPU && int64(headroom*float64(l.want.Memory)) <= rest.Memory
+	return l.vms > leastVMs && enough
 }
 
-// demand follows the work that is asked of a pool.
-type demand struct{}
+// planMoves moves machines of idle VMs to the pools that lack room, first those
+// of other pools, then those that are switched off; and switches off what stays idle.
+func (c *Core) planMoves(now time.Time) {
+	c.trackMoves(now)
+	if len(c.machines) == 0 || now.Sub(c.listed) > machinesFresh {
+		return
+	}
+	loads := c.loads(now)
+	c.feed(loads, now)
+	c.park(loads, now)
+}
+
+// machinesFresh bounds the age of the list of machines by which moves are planned.
+const machinesFresh = 2500 * time.Millisecond
+
+// trackMoves follows the machines that are on their way.
+func (c *Core) trackMoves(now time.Time) {
+	for name, m := range c.moves {
+		at, there := c.machines[name]
+		switch {
+		case !there:
+			c.endMove(name)
+		case !m.done.IsZero():
+			if at.State == Up && at.Pool == m.to && c.listed.After(m.done) && now.Sub(m.done) > c.config.Move {
+				c.endMove(name)
+			}
+		case !m.denied.IsZero() && !m.unsure && c.listed.After(m.denied) && at.State == Up:
+			c.endMove(name)
+		case now.Sub(m.ordered) > moveAgain:
+			m.ordered = now
+			c.actions = append(c.actions, Move{Machine: name, Pool: m.to})
+		}
+	}
+}
+
+func (c *Core) endMove(name string) {
+	c.keep(c.moves[name].vm, false)
+	delete(c.moves, name)
+}
+
+// Moved takes the result of an order to move a machine.
+func (c *Core) Moved(a Move, r MachineResult, now time.Time) {
+	c.config.Log.Info("move ordered", "machine", a.Machine, "pool", a.Pool, "result", r)
+	m := c.moves[a.Machine]
+	if m == nil || m.to != a.Pool {
+		return
+	}
+	switch r {
+	case MachineDone:
+		m.done = now
+	case MachineUnanswered:
+		m.unsure = true
+	case MachineBusy, MachineWrong:
+		m.denied = now
+	case MachineRefused, MachineFenced:
+	}
+}
+
+// loads returns what each pool asks for and has.
+func (c *Core) loads(now time.Time) []*load {
+	var out []*load
+	byName := make(map[string]*load)
+	for _, p := range c.sortedPools() {
+		if p.name == c.view.Spare || p.name == "" {
+			continue
+		}
+		l := c.loadOf(p, now)
+		out = append(out, l)
+		byName[p.name] = l
+	}
+	for _, m := range c.moves {
+		if l := byName[m.to]; l != nil && c.vmOf(m) == nil {
+			l.have = l.have.Plus(m.capacity)
+			l.vms++
+		}
+	}
+	return out
+}
 
-// planMoves moves machines to the pools that need them.
-func (c *Core) planMoves(time.Time) {}
+// vmOf returns the new VM of a machine that has moved, once it is attached.
+func (c *Core) vmOf(m *move) *vm {
+	for _, at := range c.machines {
+		if at.VM != "" && at.VM != m.vm && at.Pool == m.to && c.moves[at.Name] == m {
+			return c.vms[at.VM]
+		}
+	}
+	return nil
+}
+
+func (c *Core) loadOf(p *pool, now time.Time) *load {
+	l := &load{pool: p}
+	for _, v := range p.vms {
+		if !v.listed || v.Draining || v.kept || c.view.Out[v.Centre] {
+			continue
+		}
+		l.have = l.have.Plus(v.Capacity)
+		l.vms++
+		l.want = l.want.Plus(v.used)
+		if v.attached && !v.silent && !v.raise && len(v.runs) == 0 {
+			l.idle = append(l.idle, v)
+		}
+	}
+	for _, g := range p.stages {
+		if !g.open || g.due.After(now) || g.waiting == 0 {
+			continue
+		}
+		l.want = l.want.Plus(g.need().Times(int64(g.waiting)))
+		l.urgent = l.urgent || c.view.Queues[g.work.Queue].Priority == 0
+	}
+	slices.SortFunc(l.idle, func(a, b *vm) int {
+		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.ID, b.ID))
+	})
+	return l
+}
+
+// feed moves machines to the pools that lack room, the most urgent first.
+func (c *Core) feed(loads []*load, now time.Time) {
+	short := slices.DeleteFunc(slices.Clone(loads), func(l *load) bool { return !l.short() })
+	slices.SortStableFunc(short, func(a, b *load) int {
+		if a.urgent != b.urgent {
+			if a.urgent {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.missing(), a.missing())
+	})
+	for _, l := range short {
+		for l.short() {
+			m, ok := c.source(l, loads)
+			if !ok {
+				return
+			}
+			c.moveTo(m, l, now)
+		}
+	}
+}
+
+// source returns the machine that another pool misses least.
+func (c *Core) source(to *load, loads []*load) (Machine, bool) {
+	for _, l := range loads {
+		if l == to || l.short() {
+			continue
+		}
+		for i, v := range l.idle {
+			m, ok := c.machineOf(v.ID)
+			if !ok || !l.spares(v) || c.due(m.Name) {
+				continue
+			}
+			l.idle = slices.Delete(l.idle, i, i+1)
+			l.have = l.have.Minus(v.Capacity)
+			l.vms--
+			return m, true
+		}
+	}
+	for _, name := range c.machineNames() {
+		m := c.machines[name]
+		if m.Pool == c.view.Spare && m.State == Up && !c.takenElsewhere(name) && !c.due(name) && !c.view.Out[m.Centre] {
+			return m, true
+		}
+	}
+	return Machine{}, false
+}
+
+func (c *Core) machineNames() []string {
+	out := make([]string, 0, len(c.machines))
+	for name := range c.machines {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// due reports whether a machine is about to be taken for maintenance.
+func (c *Core) due(name string) bool {
+	for _, w := range c.waves {
+		if w.taken[name] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// machineOf returns the machine on which a VM runs, if it can be moved.
+func (c *Core) machineOf(id string) (Machine, bool) {
+	for _, m := range c.machines {
+		if m.VM == id {
+			return m, m.State == Up && !c.takenElsewhere(m.Name)
+		}
+	}
+	return Machine{}, false
+}
+
+func (c *Core) moveTo(m Machine, l *load, now time.Time) {
+	l.have = l.have.Plus(m.Capacity)
+	l.vms++
+	c.orderMove(m, l.pool.name, now)
+}
+
+func (c *Core) orderMove(m Machine, to string, now time.Time) {
+	c.moves[m.Name] = &move{to: to, vm: m.VM, capacity: m.Capacity, since: now, ordered: now}
+	c.keep(m.VM, true)
+	c.actions = append(c.actions, Move{Machine: m.Name, Pool: to})
+	c.config.Log.Info("machine moves", "machine", m.Name, "from", m.Pool, "to", to, "vm", m.VM)
+}
+
+// park switches off the machines of VMs that stay idle.
+func (c *Core) park(loads []*load, now time.Time) {
+	if c.view.Spare == "" {
+		return
+	}
+	for _, l := range loads {
+		for _, v := range l.idle {
+			m, ok := c.machineOf(v.ID)
+			if !ok || v.idleSince.IsZero() || now.Sub(v.idleSince) < parkAfter || !l.spares(v) {
+				continue
+			}
+			l.have = l.have.Minus(v.Capacity)
+			l.vms--
+			c.orderMove(m, c.view.Spare, now)
+		}
+	}
+}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -288,9 +288,9 @@
 // cost returns how unwelcome a VM is for a task.
 func (c *Core) cost(t *task, v *vm, now time.Time) float64 {
 	sum := costFree * (1 - float64(v.used.CPU)/float64(max(v.Capacity.CPU, 1)))
-	if t.stage.step.Service {
-		// Service tasks spread, so that few of them are lost together.
-		sum = costFree * float64(len(v.runs)) / 10
+	if t.stage.step.Service && len(v.runs) == 0 {
+		// Service tasks gather, so that other VMs fall idle and can be moved.
+		sum += costFree
 	}
 	if t.stage.step.Rack != "" && !slices.Contains(v.Labels, t.stage.step.Rack) {
 		sum += costFar
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -57,6 +57,8 @@
 	recorded bool
 	// past holds the starts of the VM's earlier processes.
 	past map[time.Time]bool
+	// idleSince is when the last run ended, or when the VM came.
+	idleSince time.Time
 	// stray is set while the VM runs something that the core knows nothing of.
 	stray bool
 	// kept is set while nothing new may start because the machine is to be taken.
@@ -314,6 +316,7 @@
 	}
 	if !v.attached {
 		v.attached = true
+		v.idleSince = now
 		delete(c.gates, v.ID)
 		c.config.Log.Info("VM attached", "vm", v.ID, "fence", h.Fence, "running", len(report.Running))
 		c.look(v)
@@ -439,6 +442,7 @@
 		checkpoint = r.checkpoint
 	}
 	c.release(r)
+	r.vm.idleSince = now
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
