Gate after a change of owner only what may run at VMs that are not heard of

Cause: after each change of owner all pools stayed closed for up to 9.6 s, for VMs that had moved away or had crashed long before. The record now names what a silent VM may run, an owner that leaves records all runs, a machine's order ends its VM at once, and jobs accepted by the new owner don't wait at all.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -43,6 +43,8 @@
 	freshFor = 1500 * time.Millisecond
 	// aloneFor is how long an owner that most other entries do not reach goes on.
 	aloneFor = 2 * time.Second
+	// handOverFor bounds the writing of the record for the next owner.
+	handOverFor = 700 * time.Millisecond
 	// listGap is the least time between two reads of the list of VMs.
 	listGap = 150 * time.Millisecond
 	// serverPing is how often a silent link from another entry is probed.
@@ -131,8 +133,8 @@
 	}})
 	n.owner = owner.New(owner.Config{
 		Ledger: book, Schedule: c.Schedule,
-		Valid: n.valid, Holding: n.holding,
-		VMs: c.VMs, Machines: c.Machines,
+		Valid: n.valid,
+		VMs:   c.VMs, Machines: c.Machines,
 		Report: func(ctx context.Context, s []schedule.WaveState) error { return c.Report(ctx, n.relay, s) },
 		Log:    c.Log,
 	})
@@ -157,11 +159,6 @@
 	return s != nil && s.Valid()
 }
 
-func (n *Node) holding() bool {
-	s := n.current()
-	return s != nil && s.Holding()
-}
-
 func (n *Node) elected(t shard.Term) {
 	n.mu.Lock()
 	n.owning = time.Now()
@@ -224,6 +221,9 @@
 	if was {
 		return nil
 	}
+	brief, cancel := context.WithTimeout(ctx, handOverFor)
+	defer cancel()
+	n.owner.HandOver(brief)
 	return n.shard.Resign(ctx)
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	o := owner.New(owner.Config{Ledger: l, Valid: s.Valid, Holding: s.Holding, VMs: vms, Machines: machines})
+//	o := owner.New(owner.Config{Ledger: l, Valid: s.Valid, VMs: vms, Machines: machines})
 //	o.Elected(term)
 //	answer := o.Submit(ctx, j)
 package owner
@@ -65,11 +65,10 @@
 	Ledger *ledger.Ledger
 	// Schedule configures the core; its epoch is set by elections.
 	Schedule schedule.Config
-	// Valid tells whether orders may be given, and Holding whether holds may be
-	// renewed.
-	Valid, Holding func() bool
-	VMs            VMs
-	Machines       Machines
+	// Valid tells whether orders may be given.
+	Valid    func() bool
+	VMs      VMs
+	Machines Machines
 	// Report writes how far maintenance waves are.
 	Report func(ctx context.Context, states []schedule.WaveState) error
 	Log    hclog.Logger
@@ -221,6 +220,26 @@
 	o.queue = nil
 }
 
+// HandOver records what runs where, so that the next owner can go on at once,
+// and stops giving orders. ctx bounds it.
+func (o *Owner) HandOver(ctx context.Context) {
+	o.mu.Lock()
+	if o.active {
+		o.core.Close()
+		wake(o.commit)
+	}
+	o.mu.Unlock()
+	for ctx.Err() == nil {
+		o.mu.Lock()
+		left := o.active && (o.core.Unrecorded() || !o.since.IsZero() || len(o.queue) > 0)
+		o.mu.Unlock()
+		if !left {
+			return
+		}
+		sleep(ctx, commitGap)
+	}
+}
+
 // current reports whether a term is still the one of the last election.
 func (o *Owner) current(t shard.Term) bool {
 	return o.term.Epoch == t.Epoch
@@ -269,7 +288,7 @@
 	c.Log = o.config.Log
 	o.core = schedule.New(c)
 	o.core.SetView(o.view, now)
-	o.core.Gate(fleet, began.Add(shard.Grace+c.Hold+c.Hold/50+gateMargin))
+	o.core.Gate(fleet, began.Add(c.Hold+c.Hold/50+gateMargin))
 	for _, k := range content.Jobs {
 		o.core.Add(k.Job, k.State, now)
 	}
@@ -342,7 +361,7 @@
 // holdOnce makes one hold. It reports whether it was answered, and whether the
 // VM is still there.
 func (o *Owner) holdOnce(id string) (bool, bool) {
-	if !o.config.Holding() {
+	if !o.config.Valid() {
 		return false, true
 	}
 	o.mu.Lock()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -65,6 +65,8 @@
 	pools  map[string]*pool
 	jobs   map[job.ID]*work
 	teams  map[string]*team
+	// departed holds when VMs have ended with their machine's order.
+	departed map[string]time.Time
 	// gates holds the VMs whose runs a new owner doesn't know yet.
 	gates map[string]*gate
 	// dirty lists the jobs whose state has changed since it was last taken.
@@ -78,6 +80,10 @@
 	stats  Stats
 	// serial is the last counter used below the epoch in a fence.
 	serial int64
+	// presumed lists the runs of the record of the owner before.
+	presumed []presumed
+	// closing is set when the ownership is about to be given up.
+	closing bool
 	// begun is the record of waves that an owner before this one has begun.
 	begun map[int64][]string
 	// fleetChanged is set when the record of VMs is out of date.
@@ -185,6 +191,7 @@
 		jobs:     make(map[job.ID]*work),
 		teams:    make(map[string]*team),
 		gates:    make(map[string]*gate),
+		departed: make(map[string]time.Time),
 		dirty:    make(map[job.ID]*work),
 		machines: make(map[string]Machine),
 		waves:    make(map[int64]*wave),
@@ -478,7 +485,7 @@
 	}
 	for _, l := range r.Fleet.VMs {
 		if v := c.vms[l.ID]; v != nil {
-			v.recorded = true
+			v.recorded = !l.Exact && !v.silent
 		}
 	}
 }
@@ -496,14 +503,33 @@
 // Fleet is what the next owner has to know beside the jobs.
 type Fleet struct {
 	// VMs lists the VMs that may run tasks.
-	VMs []VM `json:"vms"`
+	VMs []Place `json:"vms"`
 	// Begun lists the machines of each wave whose maintenance has begun.
 	Begun map[int64][]string `json:"begun,omitempty"`
 }
 
+// Place is one VM that may run tasks.
+type Place struct {
+	VM
+	// Exact is set when the VM can run nothing but Held: it answers nothing, and
+	// so is given nothing, or the owner gives up its ownership.
+	Exact bool  `json:"exact,omitempty"`
+	Held  []Run `json:"held,omitempty"`
+}
+
 // Fleet returns what is to be recorded beside the jobs.
 func (c *Core) Fleet() Fleet {
-	out := Fleet{VMs: c.Sessions(), Begun: make(map[int64][]string)}
+	out := Fleet{Begun: make(map[int64][]string)}
+	for _, l := range c.Sessions() {
+		v := c.vms[l.ID]
+		p := Place{VM: l, Exact: c.closing || v.silent}
+		if p.Exact {
+			for _, r := range v.list() {
+				p.Held = append(p.Held, r.id)
+			}
+		}
+		out.VMs = append(out.VMs, p)
+	}
 	for n, w := range c.waves {
 		for m := range w.begun {
 			out.Begun[n] = append(out.Begun[n], m)
@@ -513,6 +539,12 @@
 	return out
 }
 
+// Close prepares the record for the next owner; nothing is started any more.
+func (c *Core) Close() {
+	c.closing = true
+	c.fleetChanged = true
+}
+
 // Sessions returns the VMs with which a session is to be kept.
 func (c *Core) Sessions() []VM {
 	out := make([]VM, 0, len(c.vms))
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -118,6 +118,7 @@
 	switch r {
 	case MachineDone:
 		m.done = now
+		c.depart(m.vm, now)
 	case MachineUnanswered:
 		m.unsure = true
 	case MachineBusy, MachineWrong:
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -30,13 +30,55 @@
 		}
 	}
 	for _, l := range f.VMs {
-		if c.vms[l.ID] == nil {
-			c.addVM(l).recorded = true
+		v := c.vms[l.ID]
+		if v == nil {
+			v = c.addVM(l.VM)
+		}
+		if !l.Exact {
+			c.gates[l.ID] = &gate{pool: l.Pool, until: until}
+			continue
+		}
+		v.silent = true
+		v.lapse = until
+		for _, id := range l.Held {
+			c.presume(v, id, until)
 		}
-		c.gates[l.ID] = &gate{pool: l.Pool, until: until}
 	}
 }
 
+// presume books a run that may go on at a VM which has not answered yet.
+func (c *Core) presume(v *vm, id Run, until time.Time) {
+	c.presumed = append(c.presumed, presumed{v, id, until})
+}
+
+// presumed is a run of the record whose job is not known yet.
+type presumed struct {
+	vm    *vm
+	id    Run
+	until time.Time
+}
+
+// book makes runs of those that the record of the owner before names.
+func (c *Core) book(now time.Time) {
+	for _, p := range c.presumed {
+		w := c.jobs[p.id.Task.Job]
+		if w == nil || !w.has(p.id.Task) || c.vms[p.vm.ID] != p.vm || p.vm.runs[p.id] != nil {
+			continue
+		}
+		var t *task
+		if !w.state.Phase().Final() {
+			t = c.taskOf(w, p.id.Task)
+		}
+		if t == nil {
+			t = ghost(w, p.id.Task)
+		}
+		r := c.newRun(t, p.vm, p.id.Number, now)
+		r.state = running
+		r.fence = 0
+	}
+	c.presumed = nil
+}
+
 // closed reports whether a pool's tasks may run on VMs that have not answered yet.
 func (c *Core) closed(pool string, now time.Time) bool {
 	for id, g := range c.gates {
@@ -54,13 +96,15 @@
 
 // Plan looks at everything that has changed or is due and returns what to do.
 func (c *Core) Plan(now time.Time) []Action {
+	if c.closing {
+		return nil
+	}
+	c.book(now)
 	c.tick(now)
 	c.planWaves(now)
 	c.planMoves(now)
 	for _, p := range c.sortedPools() {
-		if !c.closed(p.name, now) {
-			c.planPool(p, now)
-		}
+		c.planPool(p, now)
 	}
 	out := c.actions
 	c.actions = nil
@@ -101,9 +145,7 @@
 		}
 	}
 	if !v.listed && len(v.runs) == 0 && now.Sub(v.unlisted) > unlistedFor && now.After(v.lapse) && c.gates[v.ID] == nil {
-		delete(c.vms, v.ID)
-		delete(c.pool(v.Pool).vms, v.ID)
-		c.fleetChanged = true
+		c.remove(v)
 		c.config.Log.Info("VM gone", "vm", v.ID)
 	}
 }
@@ -115,8 +157,13 @@
 		return
 	}
 	free := c.usable(p, now)
+	closed := c.closed(p.name, now)
 	var failed []job.Resources
 	for _, g := range stages {
+		// What was accepted in this epoch can't run on VMs that are not heard of.
+		if closed && g.work.Epoch < c.epoch && !g.step.Copies {
+			continue
+		}
 		if tooLarge(g.step.Need, failed) {
 			continue
 		}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -78,6 +78,9 @@
 func (c *Core) SetVMs(list []VM, now time.Time) {
 	present := make(map[string]bool, len(list))
 	for _, l := range list {
+		if ended, ok := c.departed[l.ID]; ok && now.Sub(ended) < departedFor {
+			continue
+		}
 		present[l.ID] = true
 		v := c.vms[l.ID]
 		if v == nil {
@@ -94,6 +97,26 @@
 	}
 }
 
+// departedFor is how long the list may still show a VM whose machine was taken.
+const departedFor = 10 * time.Second
+
+// depart forgets a VM that has ended with its machine's order, if nothing ran there.
+func (c *Core) depart(id string, now time.Time) {
+	v := c.vms[id]
+	if v == nil || len(v.runs) > 0 {
+		return
+	}
+	c.departed[id] = now
+	c.remove(v)
+}
+
+func (c *Core) remove(v *vm) {
+	delete(c.vms, v.ID)
+	delete(c.gates, v.ID)
+	delete(c.pool(v.Pool).vms, v.ID)
+	c.fleetChanged = true
+}
+
 func (c *Core) addVM(l VM) *vm {
 	v := &vm{VM: l, raise: true, runs: make(map[Run]*run), past: make(map[time.Time]bool), born: l.Born}
 	c.fleetChanged = true
@@ -210,6 +233,7 @@
 		return
 	}
 	if !v.silent {
+		c.fleetChanged = true
 		c.config.Log.Warn("VM silent", "vm", v.ID, "result", result, "runs", len(v.runs), "fence", h.Fence)
 	}
 	v.silent = true
@@ -250,6 +274,10 @@
 		c.config.Log.Info("VM answers", "vm", v.ID, "fence", h.Fence, "running", len(r.Running))
 	}
 	if v.silent {
+		// The record says what the VM ran when it fell silent, and that it is
+		// given nothing; that has to change first.
+		v.recorded = false
+		c.fleetChanged = true
 		c.look(v)
 	}
 	v.silent = false
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -319,6 +319,7 @@
 		t.ordered = now
 		w.begun[a.Machine] = true
 		c.fleetChanged = true
+		c.depart(t.vm, now)
 	case MachineUnanswered:
 		t.unsure = true
 	case MachineBusy, MachineWrong:
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -50,9 +50,6 @@
 	retryPause = 250 * time.Millisecond
 	// standPause spreads the entries that stand for election.
 	standPause = 120 * time.Millisecond
-	// Grace is how long after a lapse the owner before may have renewed holds on
-	// VMs; see Holding.
-	Grace = 3 * time.Second
 )
 
 // Member is one entry.
@@ -162,19 +159,9 @@
 
 // Valid reports whether this process is the owner and may give any order.
 func (s *Shard) Valid() bool {
-	return s.validFor(TTL - margin)
-}
-
-// Holding reports whether this process may still renew the holds of what it has
-// started: for Grace longer than it may start anything.
-func (s *Shard) Holding() bool {
-	return s.validFor(TTL - margin + Grace)
-}
-
-func (s *Shard) validFor(d time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.owning && s.config.Clock()-min(s.renewed, s.proved) < d
+	return s.owning && s.config.Clock()-min(s.renewed, s.proved) < TTL-margin
 }
 
 // Heard takes note of an owner that another entry has told of.
