--- a/schedule/core.go
+++ b/schedule/core.go
@@ -130,6 +130,8 @@
 	// open is set once the tasks may start.
 	open bool
 	due  time.Time
+	// blocked is since when a task has found no VM, zero when all have.
+	blocked time.Time
 	// advice is what the advice service said of the stage.
 	advice advice
 }
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -47,6 +47,13 @@
 	vms int
 	// idle lists its VMs that run nothing, the longest idle first.
 	idle []*vm
+	// least is the number of VMs below which its tasks can't spread as they have to.
+	least int
+	// blocked is set when a task has found no VM for a while, though room is left
+	// in sum.
+	blocked bool
+	// coming is the number of VMs on their way.
+	coming int
 	// urgent is set when tasks of the most urgent queues wait.
 	urgent bool
 }
@@ -58,14 +65,15 @@
 
 // short reports whether the pool lacks room.
 func (l *load) short() bool {
-	return l.missing() > 0 || int64(headroom*float64(l.want.Memory)) > l.have.Memory
+	return l.missing() > 0 || int64(headroom*float64(l.want.Memory)) > l.have.Memory ||
+		l.vms < l.least || l.blocked && l.coming == 0
 }
 
 // spares reports whether the pool can do without a VM.
 func (l *load) spares(v *vm) bool {
 	rest := l.have.Minus(v.Capacity)
 	enough := int64(headroom*float64(l.want.CPU)) <= rest.CPU && int64(headroom*float64(l.want.Memory)) <= rest.Memory
-	return l.vms > leastVMs && enough
+	return l.vms > l.least && enough && !l.blocked
 }
 
 // planMoves moves machines of idle VMs to the pools that lack room, first those
@@ -143,6 +151,7 @@
 		if l := byName[m.to]; l != nil && c.vmOf(m) == nil {
 			l.have = l.have.Plus(m.capacity)
 			l.vms++
+			l.coming++
 		}
 	}
 	return out
@@ -159,7 +168,7 @@
 }
 
 func (c *Core) loadOf(p *pool, now time.Time) *load {
-	l := &load{pool: p}
+	l := &load{pool: p, least: leastVMs}
 	for _, v := range p.vms {
 		if !v.listed || v.Draining || v.kept || c.view.Out[v.Centre] {
 			continue
@@ -172,9 +181,14 @@
 		}
 	}
 	for _, g := range p.stages {
-		if !g.open || g.due.After(now) || g.waiting == 0 {
+		if !g.open || g.due.After(now) {
 			continue
 		}
+		l.least = max(l.least, g.leastVMs())
+		if g.waiting == 0 {
+			continue
+		}
+		l.blocked = l.blocked || !g.blocked.IsZero() && now.Sub(g.blocked) > blockedFor
 		l.want = l.want.Plus(g.need().Times(int64(g.waiting)))
 		l.urgent = l.urgent || c.view.Queues[g.work.Queue].Priority == 0
 	}
@@ -184,6 +198,23 @@
 	return l
 }
 
+// blockedFor is how long a task finds no VM before its pool gets one more.
+const blockedFor = 150 * time.Millisecond
+
+// leastVMs returns the number of VMs on which the stage has to spread.
+func (g *stage) leastVMs() int {
+	if g.step.Spread == 0 {
+		return 0
+	}
+	left := 0
+	for _, t := range g.tasks {
+		if !t.done {
+			left++
+		}
+	}
+	return (left + g.step.Spread - 1) / g.step.Spread
+}
+
 // feed moves machines to the pools that lack room, the most urgent first.
 func (c *Core) feed(loads []*load, now time.Time) {
 	short := slices.DeleteFunc(slices.Clone(loads), func(l *load) bool { return !l.short() })
@@ -263,6 +294,7 @@
 }
 
 func (c *Core) moveTo(m Machine, l *load, now time.Time) {
+	l.coming++
 	l.have = l.have.Plus(m.Capacity)
 	l.vms++
 	c.orderMove(m, l.pool.name, now)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -257,6 +257,8 @@
 	if g.step.Gang {
 		return c.planGang(g, vms, now)
 	}
+	since := g.blocked
+	g.blocked = time.Time{}
 	for _, t := range g.tasks {
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
@@ -266,6 +268,10 @@
 		}
 		v := c.choose(t, vms, now)
 		if v == nil {
+			g.blocked = since
+			if since.IsZero() {
+				g.blocked = now
+			}
 			return false
 		}
 		c.start(t, v, t.number+1, now)
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -243,11 +243,12 @@
 // as far as budgets allow.
 func (c *Core) empty(v *vm, t *take, w *wave, now time.Time) bool {
 	patience := c.patience(w)
+	late := now.Sub(w.first) > time.Duration(lateShare*float64(w.Within))
 	for _, r := range v.list() {
 		step := r.task.stage.step
 		switch {
 		case step.Service:
-			if r.state == running && c.mayMiss(r.task, now) {
+			if r.state == running && c.mayMiss(r.task, now) && (late || c.placeable(r.task, now)) {
 				c.stop(r, now)
 			}
 		case step.Saves || now.Sub(t.since) > patience:
@@ -259,6 +260,15 @@
 	return len(v.runs) == 0
 }
 
+// lateShare is the part of a wave's time after which service tasks are stopped
+// even when no other VM has room for them yet.
+const lateShare = 0.6
+
+// placeable reports whether a task could start on another VM now.
+func (c *Core) placeable(t *task, now time.Time) bool {
+	return c.choose(t, c.usable(c.pool(c.view.Queues[t.stage.work.Queue].Pool), now), now) != nil
+}
+
 // patience is how long a VM of a wave may take to finish its tasks.
 func (c *Core) patience(w *wave) time.Duration {
 	turns := (len(w.Machines) + max(w.Cap, 1) - 1) / max(w.Cap, 1)
