Order waiting tasks by worth for the work left; learn how long tasks work

Load: turns that ask more than the room. Declared times are off by e^0.9, so the mean of each queue's ended tasks is used.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -73,6 +73,8 @@
 	dirty    map[job.ID]*work
 	actions  []Action
 	machines map[string]Machine
+	// learned holds what is known of each queue's tasks and jobs.
+	learned map[string]*learned
 	// listed is when the list of machines was asked for.
 	listed time.Time
 	waves  map[int64]*wave
@@ -113,8 +115,11 @@
 	stages map[job.Stage]*stage
 	// shown is the phase that is recorded.
 	shown job.Phase
-	// objective is when a job must be completed to count as in time.
-	objective time.Time
+	// depth holds the longest chain of steps that begins with each step, longest
+	// the longest of all, and cores the processors of all tasks together.
+	depth   []int
+	longest int
+	cores   float64
 	// version grows with every change, recorded is the version last written.
 	version, recorded int64
 }
@@ -130,6 +135,9 @@
 	// open is set once the tasks may start.
 	open bool
 	due  time.Time
+	// rank and value order the stages that wait.
+	rank  int
+	value float64
 	// blocked is since when a task has found no VM, zero when all have.
 	blocked time.Time
 	// advice is what the advice service said of the stage.
@@ -194,6 +202,7 @@
 		teams:    make(map[string]*team),
 		gates:    make(map[string]*gate),
 		departed: make(map[string]time.Time),
+		learned:  make(map[string]*learned),
 		dirty:    make(map[job.ID]*work),
 		machines: make(map[string]Machine),
 		waves:    make(map[int64]*wave),
@@ -213,9 +222,6 @@
 func (c *Core) SetView(v View, now time.Time) {
 	c.view = v
 	c.setWaves(v.Waves, now)
-	for _, w := range c.jobs {
-		w.objective = c.objective(w)
-	}
 }
 
 // Job returns the phase of a job as it is recorded.
@@ -268,7 +274,10 @@
 		return
 	}
 	w := &work{Job: j, state: s, shown: s.Phase(), stages: make(map[job.Stage]*stage)}
-	w.objective = c.objective(w)
+	w.depth = depths(j)
+	w.longest = slices.Max(w.depth)
+	w.cores = coresOf(j)
+	c.learnJob(w)
 	c.jobs[j.ID] = w
 	if s.Phase().Final() {
 		return
@@ -334,27 +343,6 @@
 	return c.stage(w, id.Stage(), w.Due(id.Occurrence)).tasks[id.Index]
 }
 
-// objective returns when a job has to be completed to be in time.
-func (c *Core) objective(w *work) time.Time {
-	q := c.view.Queues[w.Queue]
-	return w.Accepted.Add(time.Duration(q.Stretch*float64(chain(w.Job))) + q.Slack)
-}
-
-// chain returns the longest chain of estimated work.
-func chain(j *job.Job) time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	longest := time.Duration(0)
-	for i := range j.Steps {
-		start := time.Duration(0)
-		for _, a := range j.Steps[i].After {
-			start = max(start, ends[a])
-		}
-		ends[i] = start + j.Steps[i].Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Cancel ends a job whose cancelling is about to be recorded. It reports whether
 // there is such a job.
 func (c *Core) Cancel(id job.ID, now time.Time) bool {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -194,17 +194,24 @@
 }
 
 // order returns the stages with waiting tasks, the most important first.
+//
+// It answers loads that exceed the room: tasks of jobs that can still be in time
+// go before those that can't, and among these the ones that are worth most for
+// the work that is left. Jobs that have come far go before those that have not begun.
 func (c *Core) order(p *pool, now time.Time) []*stage {
 	var out []*stage
 	for _, g := range p.stages {
 		if g.open && g.waiting > 0 && !g.due.After(now) {
+			g.rank = c.rank(g, now)
+			g.value = c.value(g)
 			out = append(out, g)
 		}
 	}
 	slices.SortFunc(out, func(a, b *stage) int {
 		return cmp.Or(
-			cmp.Compare(c.rank(a, now), c.rank(b, now)),
-			a.work.objective.Compare(b.work.objective),
+			cmp.Compare(a.rank, b.rank),
+			cmp.Compare(b.value, a.value),
+			a.work.Accepted.Compare(b.work.Accepted),
 			cmp.Compare(a.id.Job, b.id.Job),
 			cmp.Compare(a.id.Step, b.id.Step),
 		)
@@ -221,12 +228,12 @@
 )
 
 // rank sorts service tasks first, then tasks by their queue's priority, and
-// those of jobs that have missed their objective last.
+// those of jobs that can't be in time any more last.
 func (c *Core) rank(g *stage, now time.Time) int {
 	switch {
 	case g.step.Service && !g.step.Filler:
 		return rankService
-	case !g.step.Service && now.After(g.work.objective):
+	case !g.step.Service && now.Add(c.remaining(g)).After(g.objective(c)):
 		return rankMissed
 	case c.view.Queues[g.work.Queue].Priority == 0:
 		return rankUrgent
@@ -234,6 +241,39 @@
 	return rankLater
 }
 
+// objective returns when the stage's occurrence has to be completed.
+func (g *stage) objective(c *Core) time.Time {
+	return g.due.Add(c.allowance(g.work))
+}
+
+// remaining returns how long the rest of a job takes at the least, from the
+// start of a stage.
+func (c *Core) remaining(g *stage) time.Duration {
+	d := c.duration(g.work.Queue)
+	return time.Duration(float64(d) * float64(g.work.depth[g.id.Step]))
+}
+
+// value returns what is earned by a job for each second of a core that it still
+// needs: a part is earned by each job, the rest by its work.
+func (c *Core) value(g *stage) float64 {
+	w := g.work
+	d := c.duration(w.Queue).Seconds()
+	size := w.cores * d
+	mean := c.learned[w.Queue].size()
+	left := max(w.coresLeft()*d, 0.01)
+	if mean <= 0 {
+		mean = size
+	}
+	return (jobShare + (1-jobShare)*min(size/max(mean, 0.01), mostWork)) / left
+}
+
+// The worth of a job: a part for each, the rest by its work against the mean of
+// its queue, up to a bound.
+const (
+	jobShare = 0.3
+	mostWork = 5.3
+)
+
 // usable returns the VMs of a pool on which something may start.
 func (c *Core) usable(p *pool, now time.Time) []*vm {
 	var out []*vm
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -479,6 +479,9 @@
 			"after", now.Sub(r.sent).Milliseconds())
 	}
 	r.vm.judge(t.id.Job, how, now)
+	if how == Done {
+		c.learnEnd(r, now)
+	}
 	c.outcome(t, r.id.Number, r.vm, how, now)
 }
 
@@ -519,7 +522,7 @@
 	if w.state.Phase() == job.Completed {
 		w.state.Close(now)
 		c.config.Log.Info("job completed", "job", w.ID, "queue", w.Queue, "run", number,
-			"late", now.Sub(w.objective).Milliseconds(), "took", now.Sub(w.Accepted).Milliseconds())
+			"late", now.Sub(g.due.Add(c.allowance(w))).Milliseconds(), "took", now.Sub(w.Accepted).Milliseconds())
 		return
 	}
 	c.open(w, now)
