Keep ordering while the store is away on pledges of all other entries

Cause: an owner stopped starting tasks 2.8 s into an outage of the store, though nobody could replace it. Entries now pledge for 2 s at a time to stand for no election; jobs that the store refuses are refused at once with a time to come back.

--- a/jobs/host.go
+++ b/jobs/host.go
@@ -44,7 +44,9 @@
 			n.done.Go(func() { n.heard(m, other.Address) })
 		}
 	}
-	return n.meeting()
+	out := n.meeting()
+	out.Pledge = m.Ask && n.shard.Pledge(m.Owner)
+	return out
 }
 
 // Records returns the operators' records with the revision of the last change.
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -248,9 +248,11 @@
 		members := n.shard.Members()
 		slices.SortFunc(members, func(a, b shard.Member) int { return a.Address.Compare(b.Address) })
 		own, known := n.shard.Owner()
-		if len(members) > 0 {
-			turn++
-			n.meetOne(members[turn%len(members)])
+		turn++
+		for i, m := range members {
+			if n.shard.Asks() || i == turn%len(members) {
+				n.meetOne(m)
+			}
 		}
 		if known && own.Name != n.config.Self.Name {
 			n.meetOne(own.Member)
@@ -269,10 +271,14 @@
 	n.done.Go(func() {
 		ctx, cancel := context.WithTimeout(n.ctx, meetTimeout)
 		defer cancel()
+		asked := n.config.Clock()
 		theirs, err := n.links.Meet(ctx, m.Address, n.meeting())
 		if err != nil {
 			return
 		}
+		if theirs.Pledge {
+			n.shard.Pledged(theirs.Name, asked)
+		}
 		n.heard(theirs, m.Address)
 	})
 }
@@ -280,7 +286,7 @@
 func (n *Node) meeting() peer.Meeting {
 	m := peer.Meeting{
 		Name: n.config.Self.Name, Run: n.config.Self.Run, Revision: n.operators.Copy().Rev,
-		Reaches: time.Since(n.relay.Heard()) < freshFor,
+		Reaches: time.Since(n.relay.Heard()) < freshFor, Ask: n.shard.Asks(),
 	}
 	if o, ok := n.shard.Owner(); ok {
 		m.Owner = o
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -36,6 +36,8 @@
 const (
 	firstPause = 20 * time.Millisecond
 	mostPause  = 250 * time.Millisecond
+	// refusedFor is how long a commit that the store refuses is tried again.
+	refusedFor = 250 * time.Millisecond
 	// tryTimeout bounds one try; the outcome is then looked up.
 	tryTimeout = 1300 * time.Millisecond
 )
@@ -133,6 +135,16 @@
 
 func (e *Deposed) Error() string { return "ledger: owned by " + e.Tail.Run }
 
+// Unwritten reports a commit that the store refused; nothing of it was written.
+type Unwritten struct {
+	Cause error
+}
+
+func (e *Unwritten) Error() string { return "ledger: refused by the store: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *Unwritten) Unwrap() error { return e.Cause }
+
 // Unsettled reports a commit that was given up while its outcome was unknown.
 type Unsettled struct {
 	Cause error
@@ -143,7 +155,8 @@
 // Unwrap returns the cause.
 func (e *Unsettled) Unwrap() error { return e.Cause }
 
-// Commit writes a batch. It tries until the outcome is known or ctx ends; then
+// Commit writes a batch. It tries until the outcome is known or ctx ends. After
+// *Unwritten nothing was written and the ledger may be used on. When ctx ends,
 // the error is *Unsettled, and nothing else may be committed. After *Deposed the
 // batch was not written by the last try, but may have been by an earlier one
 // whose answer was lost.
@@ -156,8 +169,18 @@
 		return err
 	}
 	pause := firstPause
+	certain := true
+	began := time.Now()
 	for {
 		done, err := l.try(ctx, puts, b)
+		if refused, ok := errors.Into[*store.Unavailable](err); ok {
+			if certain && time.Since(began) > refusedFor {
+				return &Unwritten{Cause: refused}
+			}
+			err = nil
+		} else if !done {
+			certain = false
+		}
 		if done || err != nil {
 			return err
 		}
@@ -198,6 +221,9 @@
 	if _, ok := errors.Into[*store.Invalid](err); ok {
 		return false, err
 	}
+	if _, ok := errors.Into[*store.Unavailable](err); ok {
+		return false, err
+	}
 	if _, ok := errors.Into[*store.Uncertain](err); ok {
 		item, err := l.config.Store.Get(ctx, TailKey(l.config.Prefix))
 		if err != nil {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -52,6 +52,8 @@
 	machineTimeout = 1200 * time.Millisecond
 	// stuckAfter is when a commit without an answer means that the store is lost.
 	stuckAfter = 400 * time.Millisecond
+	// lostFor is how long after a refused commit jobs are refused without a try.
+	lostFor = 300 * time.Millisecond
 	// retryLost is when callers may come back while the store is lost.
 	retryLost = 2 * time.Second
 	// retrySoon is when callers may come back after a change of owner.
@@ -100,6 +102,8 @@
 	loops map[string]*session
 	// since is when the commit on its way was begun; zero means none.
 	since time.Time
+	// lost is when the store last refused a commit; zero after one that it took.
+	lost time.Time
 }
 
 // session is the goroutine of one VM.
@@ -423,6 +427,7 @@
 	if !o.active {
 		return
 	}
+	o.refuseQueued()
 	for _, a := range o.core.Plan(time.Now()) {
 		o.carryOut(a)
 	}
--- a/owner/record.go
+++ b/owner/record.go
@@ -66,7 +66,19 @@
 
 // stuck reports whether a commit has had no answer for long.
 func (o *Owner) stuck() bool {
-	return !o.since.IsZero() && time.Since(o.since) > stuckAfter
+	refused := !o.lost.IsZero() && time.Since(o.lost) < lostFor
+	return refused || !o.since.IsZero() && time.Since(o.since) > stuckAfter
+}
+
+// refuseQueued refuses the jobs that wait for a store which does not answer.
+func (o *Owner) refuseQueued() {
+	if !o.stuck() {
+		return
+	}
+	for _, a := range o.queue {
+		o.settle(a, Answer{Outcome: Refused, Retry: retryLost, Reason: "store lost"})
+	}
+	o.queue = nil
 }
 
 // await waits for the answer to an acceptance.
@@ -252,8 +264,14 @@
 func (o *Owner) committed(core *schedule.Core, l load, err error) {
 	if err != nil {
 		o.config.Log.Warn("records not written", "keys", l.batch.Size(), "error", err)
+		answer := Answer{Outcome: Unsettled, Retry: retrySoon, Reason: err.Error()}
+		if _, ok := errors.Into[*ledger.Unwritten](err); ok {
+			answer = Answer{Outcome: Refused, Retry: retryLost, Reason: "store lost"}
+			o.lost = time.Now()
+			wake(o.commit)
+		}
 		for _, a := range l.accepted {
-			o.settle(a, Answer{Outcome: Unsettled, Retry: retrySoon, Reason: err.Error()})
+			o.settle(a, answer)
 		}
 		if _, ok := errors.Into[*ledger.Deposed](err); ok {
 			o.active = false
@@ -271,6 +289,7 @@
 		return
 	}
 	now := time.Now()
+	o.lost = time.Time{}
 	core.Written(l.recorded)
 	for _, a := range l.accepted {
 		core.Add(a.job, job.NewState(a.job), now)
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -45,6 +45,11 @@
 	Owner shard.Owner
 	// Reaches is set when the store has answered the entry of late.
 	Reaches bool
+	// Ask is set by an owner that can't renew its lease and asks for a pledge.
+	Ask bool
+	// Pledge is set in the answer of an entry that won't stand for election for
+	// shard.PledgeFor.
+	Pledge bool
 }
 
 // JobHost answers the calls of other entries.
@@ -266,7 +271,7 @@
 }
 
 func encodeMeeting(m Meeting) *wire.MemberState {
-	out := &wire.MemberState{Name: m.Name, Run: m.Run, Revision: m.Revision, Reaches: m.Reaches}
+	out := &wire.MemberState{Name: m.Name, Run: m.Run, Revision: m.Revision, Reaches: m.Reaches, Ask: m.Ask, Pledge: m.Pledge}
 	if m.Owner.Name != "" {
 		// Names, addresses and numbers always encode.
 		out.Owner, _ = json.Marshal(m.Owner)
@@ -275,7 +280,10 @@
 }
 
 func decodeMeeting(s *wire.MemberState) (Meeting, error) {
-	m := Meeting{Name: s.GetName(), Run: s.GetRun(), Revision: s.GetRevision(), Reaches: s.GetReaches()}
+	m := Meeting{
+		Name: s.GetName(), Run: s.GetRun(), Revision: s.GetRevision(), Reaches: s.GetReaches(),
+		Ask: s.GetAsk(), Pledge: s.GetPledge(),
+	}
 	if len(s.GetOwner()) > 0 {
 		if err := json.Unmarshal(s.GetOwner(), &m.Owner); err != nil {
 			return m, &store.Invalid{Call: "meet", Cause: err}
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -48,6 +48,10 @@
 	watchWait = 5 * time.Second
 	// retryPause spreads the tries after a failed call.
 	retryPause = 250 * time.Millisecond
+	// PledgeFor is how long an entry that has pledged so stands for no election.
+	PledgeFor = 2 * time.Second
+	// askAfter is the age of the last renewal from which an owner asks for pledges.
+	askAfter = 1200 * time.Millisecond
 	// standPause spreads the entries that stand for election.
 	standPause = 120 * time.Millisecond
 )
@@ -112,6 +116,13 @@
 	owning   bool
 	resigned time.Duration
 	leaving  bool
+	// started is when this process took part first.
+	started time.Duration
+	// pledged is until when this entry stands for no election.
+	pledged time.Duration
+	// pledges holds, for each other entry, when the question was sent to which it
+	// answered with a pledge.
+	pledges map[string]time.Duration
 	// dead names the process that was proved to have ended.
 	dead string
 }
@@ -120,6 +131,8 @@
 func New(c Config) *Shard {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Shard{config: c, ctx: ctx, cancel: cancel, stand: make(chan struct{}, 1), members: make(map[string]Member)}
+	s.pledges = make(map[string]time.Duration)
+	s.started = c.Clock()
 	s.done.Go(s.keep)
 	s.done.Go(s.watch)
 	s.done.Go(s.elect)
@@ -157,11 +170,57 @@
 	return out
 }
 
-// Valid reports whether this process is the owner and may give any order.
+// Valid reports whether this process is the owner and may give orders: for less
+// than the lease's time to live after each renewal, and beyond it while every
+// other entry has pledged to stand for no election.
 func (s *Shard) Valid() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.owning && s.config.Clock()-min(s.renewed, s.proved) < TTL-margin
+	if !s.owning {
+		return false
+	}
+	now := s.config.Clock()
+	return now-min(s.renewed, s.proved) < TTL-margin || s.allPledged(now)
+}
+
+func (s *Shard) allPledged(now time.Duration) bool {
+	for name := range s.members {
+		if name == s.config.Self.Name {
+			continue
+		}
+		asked, ok := s.pledges[name]
+		if !ok || now-asked >= PledgeFor-margin {
+			return false
+		}
+	}
+	return len(s.members) > 1
+}
+
+// Asks reports whether the owner needs pledges because it can't renew its lease.
+func (s *Shard) Asks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owning && s.config.Clock()-min(s.renewed, s.proved) > askAfter
+}
+
+// Pledge makes this entry stand for no election for PledgeFor, if the one that
+// asks is the owner as far as is known. It reports whether it does.
+func (s *Shard) Pledge(o Owner) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owning || o.Epoch < s.owner.Epoch {
+		return false
+	}
+	s.pledged = s.config.Clock() + PledgeFor
+	return true
+}
+
+// Pledged takes note of another entry's pledge, which answered a question that
+// was sent at asked by the clock of the configuration.
+func (s *Shard) Pledged(name string, asked time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pledges[name] = asked
 }
 
 // Heard takes note of an owner that another entry has told of.
@@ -487,12 +546,18 @@
 	if s.leaving || s.lease == 0 || s.owning {
 		return false
 	}
-	if s.resigned > 0 && s.config.Clock()-s.resigned < TTL && len(s.members) > 1 {
+	now := s.config.Clock()
+	// A process before this one on the same machine may have pledged.
+	own := s.owner.Name == s.config.Self.Name
+	if now < s.pledged || now-s.started < PledgeFor && s.owner.Name != "" && !own {
+		return false
+	}
+	if s.resigned > 0 && now-s.resigned < TTL && len(s.members) > 1 {
 		return false
 	}
 	free := s.owner.Name == "" || s.owner.Run == s.dead
-	// An election whose answer was lost, or one of the process before this one.
-	own := s.owner.Name == s.config.Self.Name
+	// The last is an election whose answer was lost, or one of the process before
+	// this one.
 	return free || own
 }
 
