--- a/schedule/core.go
+++ b/schedule/core.go
@@ -102,6 +102,7 @@
 	name   string
 	stages map[job.Stage]*stage
 	vms    map[string]*vm
+	peak   peak
 }
 
 type team struct {
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -15,7 +16,10 @@
 	headroom = 1.05
 	// parkAfter is how long a VM has to be idle in a pool that does not need it
 	// before its machine is switched off.
-	parkAfter = 1500 * time.Millisecond
+	parkAfter = 400 * time.Millisecond
+	// wantFalls is the time in which a pool's want falls to a third of its peak, as
+	// far as giving VMs away goes: demand swings from one job to the next.
+	wantFalls = 1500 * time.Millisecond
 	// moveAgain is when an order to move is given once more.
 	moveAgain = 1500 * time.Millisecond
 	// leastVMs is the number of VMs that stay in a pool that asks for nothing.
@@ -41,6 +45,8 @@
 	pool *pool
 	// want is what all its tasks that run or could run need.
 	want job.Resources
+	// lately is the want with peaks that fall off slowly.
+	lately job.Resources
 	// have is the room of its VMs, with those on their way.
 	have job.Resources
 	// vms is the number of its VMs, with those on their way.
@@ -72,7 +78,7 @@
 // spares reports whether the pool can do without a VM.
 func (l *load) spares(v *vm) bool {
 	rest := l.have.Minus(v.Capacity)
-	enough := int64(headroom*float64(l.want.CPU)) <= rest.CPU && int64(headroom*float64(l.want.Memory)) <= rest.Memory
+	enough := int64(headroom*float64(l.lately.CPU)) <= rest.CPU && int64(headroom*float64(l.lately.Memory)) <= rest.Memory
 	return l.vms > l.least && enough && !l.blocked
 }
 
@@ -192,6 +198,7 @@
 		l.want = l.want.Plus(g.need().Times(int64(g.waiting)))
 		l.urgent = l.urgent || c.view.Queues[g.work.Queue].Priority == 0
 	}
+	l.lately = p.peak.follow(l.want, now)
 	slices.SortFunc(l.idle, func(a, b *vm) int {
 		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.ID, b.ID))
 	})
@@ -215,6 +222,20 @@
 	return (left + g.step.Spread - 1) / g.step.Spread
 }
 
+// peak follows a want upwards at once and downwards slowly.
+type peak struct {
+	cpu, memory float64
+	at          time.Time
+}
+
+func (p *peak) follow(want job.Resources, now time.Time) job.Resources {
+	keep := math.Exp(-now.Sub(p.at).Seconds() / wantFalls.Seconds())
+	p.cpu = max(float64(want.CPU), float64(want.CPU)+(p.cpu-float64(want.CPU))*keep)
+	p.memory = max(float64(want.Memory), float64(want.Memory)+(p.memory-float64(want.Memory))*keep)
+	p.at = now
+	return job.Resources{CPU: int64(p.cpu), Memory: int64(p.memory), GPU: want.GPU}
+}
+
 // feed moves machines to the pools that lack room, the most urgent first.
 func (c *Core) feed(loads []*load, now time.Time) {
 	short := slices.DeleteFunc(slices.Clone(loads), func(l *load) bool { return !l.short() })
