--- a/schedule/core.go
+++ b/schedule/core.go
@@ -73,6 +73,8 @@
 	dirty    map[job.ID]*work
 	actions  []Action
 	machines map[string]Machine
+	// told is when the loads of the pools were last logged.
+	told time.Time
 	// learned holds what is known of each queue's tasks and jobs.
 	learned map[string]*learned
 	// listed is when the list of machines was asked for.
@@ -103,6 +105,8 @@
 	stages map[job.Stage]*stage
 	vms    map[string]*vm
 	peak   peak
+	// offered is the rate of work that comes in.
+	offered offered
 }
 
 type team struct {
@@ -280,6 +284,9 @@
 	w.cores = coresOf(j)
 	c.learnJob(w)
 	c.jobs[j.ID] = w
+	if !w.Lasting() && j.Epoch == c.epoch {
+		c.pool(c.view.Queues[w.Queue].Pool).offered.add(w.cores*c.duration(w.Queue).Seconds(), now)
+	}
 	if s.Phase().Final() {
 		return
 	}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -90,10 +90,47 @@
 		return
 	}
 	loads := c.loads(now)
+	if now.Sub(c.told) >= tellEvery {
+		c.told = now
+		c.tell(loads)
+	}
 	c.feed(loads, now)
 	c.park(loads, now)
 }
 
+// tellEvery is the time between two log lines on a pool's load.
+const tellEvery = time.Second
+
+// tell logs what each pool asks for and has.
+func (c *Core) tell(loads []*load) {
+	for _, l := range loads {
+		services, waiting := 0, 0
+		for _, v := range l.pool.vms {
+			if v.serves() {
+				services++
+			}
+		}
+		for _, g := range l.pool.stages {
+			if g.open {
+				waiting += g.waiting
+			}
+		}
+		c.config.Log.Info("pool", "pool", l.pool.name, "vms", l.vms, "coming", l.coming, "idle", len(l.idle),
+			"services", services, "least", l.least, "waiting", waiting,
+			"want", l.want.CPU/1000, "lately", l.lately.CPU/1000, "have", l.have.CPU/1000)
+	}
+}
+
+// serves reports whether a service task runs on the VM.
+func (v *vm) serves() bool {
+	for _, r := range v.runs {
+		if r.task.stage.step.Service {
+			return true
+		}
+	}
+	return false
+}
+
 // machinesFresh bounds the age of the list of machines by which moves are planned.
 const machinesFresh = 2500 * time.Millisecond
 
@@ -198,6 +235,11 @@
 		l.want = l.want.Plus(g.need().Times(int64(g.waiting)))
 		l.urgent = l.urgent || c.view.Queues[g.work.Queue].Priority == 0
 	}
+	// Work that comes in at a steady rate occupies as many processors as it brings
+	// seconds of work a second; its tasks show that only once they have piled up.
+	if coming := int64(1000 * steadyShare * p.offered.rate(now)); coming > l.want.CPU {
+		l.want.CPU = coming
+	}
 	l.lately = p.peak.follow(l.want, now)
 	slices.SortFunc(l.idle, func(a, b *vm) int {
 		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.ID, b.ID))
@@ -222,6 +264,27 @@
 	return (left + g.step.Spread - 1) / g.step.Spread
 }
 
+// steadyShare is the part of the work that comes in for which room is made ahead.
+const steadyShare = 0.9
+
+// offeredOver is the time over which the rate of incoming work is averaged.
+const offeredOver = time.Second
+
+// offered averages the work that comes in, in core-seconds a second.
+type offered struct {
+	sum float64
+	at  time.Time
+}
+
+func (o *offered) add(work float64, now time.Time) {
+	o.sum = o.rate(now) + work/offeredOver.Seconds()
+	o.at = now
+}
+
+func (o *offered) rate(now time.Time) float64 {
+	return o.sum * math.Exp(-now.Sub(o.at).Seconds()/offeredOver.Seconds())
+}
+
 // peak follows a want upwards at once and downwards slowly.
 type peak struct {
 	cpu, memory float64
