--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -41,6 +41,9 @@
 	meetTimeout = 700 * time.Millisecond
 	// freshFor is how long an answer of the store counts as of late.
 	freshFor = 1500 * time.Millisecond
+	// cutAfter is how long owner and store may be silent before the entry asks for
+	// no more connections.
+	cutAfter = 1500 * time.Millisecond
 	// aloneFor is how long an owner that most other entries do not reach goes on.
 	aloneFor = 2 * time.Second
 	// handOverFor bounds the writing of the record for the next owner.
@@ -104,6 +107,8 @@
 	reachable map[netip.AddrPort]time.Time
 	owning    time.Time
 	leaving   bool
+	// touched is when the owner last answered.
+	touched time.Time
 }
 
 // Start listens for other entries and starts all goroutines.
@@ -279,10 +284,32 @@
 		if theirs.Pledge {
 			n.shard.Pledged(theirs.Name, asked)
 		}
+		if o, ok := n.shard.Owner(); ok && o.Run == theirs.Run {
+			n.touch()
+		}
 		n.heard(theirs, m.Address)
 	})
 }
 
+// touch notes that the owner has answered.
+func (n *Node) touch() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.touched = time.Now()
+}
+
+// CutOff reports whether neither the owner nor the store has answered of late,
+// so that no request can be served here.
+func (n *Node) CutOff() bool {
+	if n.valid() {
+		return false
+	}
+	n.mu.Lock()
+	silent := time.Since(n.touched) > cutAfter
+	n.mu.Unlock()
+	return silent && time.Since(n.relay.Heard()) > cutAfter
+}
+
 func (n *Node) meeting() peer.Meeting {
 	m := peer.Meeting{
 		Name: n.config.Self.Name, Run: n.config.Self.Run, Revision: n.operators.Copy().Rev,
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -21,6 +21,9 @@
 	findFor = 120 * time.Millisecond
 	// retryNoOwner is when callers may come back while there is no owner.
 	retryNoOwner = time.Second
+	// retryCutOff is when callers may come back to an entry that is cut off: the
+	// platform leads them elsewhere by then.
+	retryCutOff = 2 * time.Second
 	// callFor bounds one call to the owner.
 	callFor = 1500 * time.Millisecond
 )
@@ -49,7 +52,11 @@
 		case <-t.C:
 		}
 	}
-	return conclude(last, unsettled)
+	out := conclude(last, unsettled)
+	if out.Outcome == owner.Refused && n.CutOff() {
+		out.Retry = retryCutOff
+	}
+	return out
 }
 
 // conclude turns the last answer of several tries into the answer for the caller.
@@ -131,5 +138,5 @@
 	n.mu.Lock()
 	leaving := n.leaving
 	n.mu.Unlock()
-	return !leaving && n.operators.Copy().Read
+	return !leaving && n.operators.Copy().Read && !n.CutOff()
 }
--- a/owner/record.go
+++ b/owner/record.go
@@ -243,7 +243,7 @@
 		l.batch.Jobs = append(l.batch.Jobs, a.job)
 	}
 	var err error
-	l.recorded, err = o.core.Take(ledger.MostWrites - n - 1)
+	l.recorded, err = o.core.Take(ledger.MostWrites-n-1, time.Now())
 	if err != nil {
 		return l, err
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -415,7 +415,7 @@
 
 // Take returns at most most states that have to be recorded. Urgent ones, which
 // end a job, come first.
-func (c *Core) Take(most int) (Recorded, error) {
+func (c *Core) Take(most int, now time.Time) (Recorded, error) {
 	var out Recorded
 	list := make([]*work, 0, len(c.dirty))
 	for _, w := range c.dirty {
@@ -434,7 +434,7 @@
 	}
 	if c.fleetChanged {
 		c.fleetChanged = false
-		fleet := c.Fleet()
+		fleet := c.Fleet(now)
 		out.Fleet = &fleet
 	}
 	if len(c.dirty) == 0 {
@@ -513,10 +513,12 @@
 	// so is given nothing, or the owner gives up its ownership.
 	Exact bool  `json:"exact,omitempty"`
 	Held  []Run `json:"held,omitempty"`
+	// Left is how long Held may go on after the record was made, at the most.
+	Left time.Duration `json:"left,omitempty"`
 }
 
 // Fleet returns what is to be recorded beside the jobs.
-func (c *Core) Fleet() Fleet {
+func (c *Core) Fleet(now time.Time) Fleet {
 	out := Fleet{Begun: make(map[int64][]string)}
 	for _, l := range c.Sessions() {
 		v := c.vms[l.ID]
@@ -525,6 +527,7 @@
 			for _, r := range v.list() {
 				p.Held = append(p.Held, r.id)
 			}
+			p.Left = max(v.lapse.Sub(now), 0)
 		}
 		out.VMs = append(out.VMs, p)
 	}
--- a/schedule/fake_test.go
+++ b/schedule/fake_test.go
@@ -97,7 +97,7 @@
 		Log: hclog.NewNullLogger(),
 	})
 	w.core.SetView(w.view, w.now)
-	w.core.Gate(w.fleet, w.now.Add(10*time.Second))
+	w.core.Gate(w.fleet, w.now, 6500*time.Millisecond)
 	for id, data := range w.kept {
 		s := job.NewState(w.jobs[id])
 		if data != nil {
@@ -180,7 +180,7 @@
 // record writes what has changed, as a ledger does.
 func (w *world) record() {
 	for {
-		r, err := w.core.Take(30)
+		r, err := w.core.Take(30, w.now)
 		if err != nil {
 			w.t.Fatal(err)
 		}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -20,7 +20,11 @@
 
 // Gate takes over the record of the owner before. It closes the pools of the VMs
 // that may run tasks; each opens when all of its VMs have answered, or at until.
-func (c *Core) Gate(f Fleet, until time.Time) {
+//
+// Calls since began lie after the record was made; hold is the longest that a VM
+// may go on with what it was given.
+func (c *Core) Gate(f Fleet, began time.Time, hold time.Duration) {
+	until := began.Add(hold)
 	c.begun = f.Begun
 	for n, machines := range f.Begun {
 		if w := c.waves[n]; w != nil {
@@ -39,23 +43,17 @@
 			continue
 		}
 		v.silent = true
-		v.lapse = until
+		v.lapse = began.Add(min(l.Left, hold))
 		for _, id := range l.Held {
-			c.presume(v, id, until)
+			c.presumed = append(c.presumed, presumed{v, id})
 		}
 	}
 }
 
-// presume books a run that may go on at a VM which has not answered yet.
-func (c *Core) presume(v *vm, id Run, until time.Time) {
-	c.presumed = append(c.presumed, presumed{v, id, until})
-}
-
 // presumed is a run of the record whose job is not known yet.
 type presumed struct {
-	vm    *vm
-	id    Run
-	until time.Time
+	vm *vm
+	id Run
 }
 
 // book makes runs of those that the record of the owner before names.
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -255,6 +255,7 @@
 			continue
 		}
 		c.ended(r, Lapsed, "", now)
+		c.fleetChanged = true
 	}
 }
 
