Let late work hold no VMs that another pool needs; test turns, handovers, spread

Load: turns that follow on a turn whose backlog is not done. Cause of late jobs: tasks that could not be in time any more kept the VMs of the pool whose turn was over. Such VMs are emptied and moved; late work gets what nobody else needs. The etcd client satisfies store.Store; one contract test for all stores.

--- /dev/null
+++ b/etcd/store.go
@@ -0,0 +1,151 @@
+package etcd
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"almondcove/store"
+)
+
+// Store is a key-value service that speaks the etcd API, as a store.Store.
+type Store struct {
+	client *Client
+}
+
+var _ store.Store = (*Store)(nil)
+
+// NewStore returns the service that a client calls.
+func NewStore(c *Client) *Store { return &Store{client: c} }
+
+// translate turns the client's errors into those of package store.
+func translate(call string, err error) error {
+	if err == nil {
+		return nil
+	}
+	if lapsed, ok := errors.Into[*Lapsed](err); ok {
+		return &store.Lapsed{ID: store.LeaseID(lapsed.ID)}
+	}
+	if _, ok := errors.Into[*Uncertain](err); ok {
+		return &store.Uncertain{Call: call, Cause: err}
+	}
+	if _, ok := errors.Into[*Rejected](err); ok {
+		return &store.Invalid{Call: call, Cause: err}
+	}
+	return &store.Unavailable{Call: call, Cause: err}
+}
+
+func itemOf(kv KV) store.Item {
+	return store.Item{Key: string(kv.Key), Value: kv.Value, Rev: kv.Mod, Lease: store.LeaseID(kv.Lease)}
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.Item, error) {
+	kv, err := s.client.Get(ctx, key)
+	if err != nil {
+		return store.Item{Key: key}, translate("get", err)
+	}
+	return itemOf(kv), nil
+}
+
+// Range implements store.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	kvs, rev, err := s.client.List(ctx, prefix)
+	if err != nil {
+		return nil, 0, translate("range", err)
+	}
+	out := make([]store.Item, 0, len(kvs))
+	for _, kv := range kvs {
+		out = append(out, itemOf(kv))
+	}
+	return out, rev, nil
+}
+
+// Commit implements store.Store. A key under a lease that has ended gives
+// *store.Lapsed.
+func (s *Store) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	var in TxnRequest
+	for _, g := range t.Guards {
+		in.Compare = append(in.Compare, Unchanged(KV{Key: []byte(g.Key), Mod: g.Rev}))
+		in.Failure = append(in.Failure, Read(g.Key))
+	}
+	lease := store.LeaseID(0)
+	for _, p := range t.Puts {
+		in.Success = append(in.Success, PutLeased(p.Key, p.Value, int64(p.Lease)))
+		lease = max(lease, p.Lease)
+	}
+	for _, key := range t.Removes {
+		in.Success = append(in.Success, Remove(key))
+	}
+	out, err := s.client.Commit(ctx, in)
+	if _, ok := errors.Into[*Rejected](err); ok && lease != 0 {
+		return 0, &store.Lapsed{ID: lease}
+	}
+	if err != nil {
+		return 0, translate("commit", err)
+	}
+	if !out.Succeeded {
+		return 0, conflictOf(out)
+	}
+	return out.Header.Revision, nil
+}
+
+func conflictOf(out TxnResponse) *store.Conflict {
+	conflict := &store.Conflict{}
+	for _, r := range out.Responses {
+		if r.Range == nil {
+			continue
+		}
+		for _, kv := range r.Range.KVs {
+			conflict.Items = append(conflict.Items, itemOf(kv))
+		}
+	}
+	return conflict
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error) {
+	id, err := s.client.Grant(ctx, ttl)
+	return store.LeaseID(id), max(ttl.Round(time.Second), time.Second), translate("grant", err)
+}
+
+// Keep implements store.Store.
+func (s *Store) Keep(ctx context.Context, id store.LeaseID) error {
+	return translate("keep", s.client.KeepAlive(ctx, int64(id)))
+}
+
+// End implements store.Store.
+func (s *Store) End(ctx context.Context, id store.LeaseID) error {
+	return translate("end", s.client.Revoke(ctx, int64(id)))
+}
+
+// errEnough ends a watch after the first changes.
+type errEnough struct{}
+
+func (errEnough) Error() string { return "etcd: changes found" }
+
+// Watch implements store.Store.
+func (s *Store) Watch(
+	ctx context.Context, prefix string, after int64, wait time.Duration,
+) ([]store.Event, int64, error) {
+	inner, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	var out []store.Event
+	next := after
+	err := s.client.Watch(inner, prefix, after+1, func(events []Event, rev int64) error {
+		for _, e := range events {
+			out = append(out, store.Event{Item: itemOf(e.KV), Deleted: e.Deleted()})
+		}
+		next = max(next, rev)
+		return errEnough{}
+	})
+	switch {
+	case len(out) > 0, ctx.Err() == nil && inner.Err() != nil:
+		return out, next, nil
+	}
+	if canceled, ok := errors.Into[*Canceled](err); ok && canceled.Compact > 0 {
+		return nil, after, &store.Compacted{After: after}
+	}
+	return nil, after, translate("watch", err)
+}
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -8,6 +8,7 @@
 
 	"almondcove/job"
 	"almondcove/schedule"
+	"almondcove/standin"
 )
 
 func batch(id job.ID, count int) *job.Job {
@@ -35,7 +36,7 @@
 func runsOf(w *world, id job.Task) int {
 	n := 0
 	for _, v := range w.vms {
-		for r := range v.running {
+		for _, r := range v.Running() {
 			if r.Task == id {
 				n++
 			}
@@ -68,7 +69,9 @@
 	w.run(time.Second)
 	id := job.Task{Job: "1"}
 	for _, v := range w.vms {
-		v.deaf = len(v.running) > 0
+		if len(v.Running()) > 0 {
+			v.Set(standin.Deaf)
+		}
 	}
 	w.run(5 * time.Second)
 	g.Expect(runsOf(w, id)).To(gomega.Equal(1))
@@ -84,12 +87,12 @@
 	w := newWorld(t, 2)
 	w.run(time.Second)
 	for _, v := range w.vms {
-		v.mute = true
+		v.Set(standin.Dumb)
 	}
 	w.submit(batch("1", 1))
 	w.step(50 * time.Millisecond)
 	for _, v := range w.vms {
-		v.mute = false
+		v.Set(standin.Obedient)
 	}
 	for range 60 {
 		w.step(50 * time.Millisecond)
@@ -112,7 +115,7 @@
 	for range 60 {
 		w.now = w.now.Add(50 * time.Millisecond)
 		for _, id := range w.ids() {
-			w.vms[id].work(w.now)
+			w.vms[id].Work(w.now)
 			w.hold(id)
 		}
 		w.plan()
@@ -141,7 +144,7 @@
 	w.submit(batch("2", 4))
 	for range 40 {
 		w.step(50 * time.Millisecond)
-		g.Expect(w.vms["vm-0"].used().CPU).To(gomega.BeNumerically("<=", 8000))
+		g.Expect(w.vms["vm-0"].Used().CPU).To(gomega.BeNumerically("<=", 8000))
 	}
 	g.Expect(w.stops).NotTo(gomega.BeEmpty())
 }
@@ -156,10 +159,10 @@
 	w.run(time.Second)
 	busy, free := 0, ""
 	for _, id := range w.ids() {
-		if len(w.vms[id].running) > 0 && busy == 0 {
-			w.vms[id].deaf = true
+		if len(w.vms[id].Running()) > 0 && busy == 0 {
+			w.vms[id].Set(standin.Deaf)
 			busy++
-		} else if len(w.vms[id].running) > 0 {
+		} else if len(w.vms[id].Running()) > 0 {
 			free = id
 		}
 	}
@@ -168,7 +171,7 @@
 	w.run(time.Second)
 	g.Expect(w.stops).To(gomega.BeEmpty())
 	for _, v := range w.vms {
-		v.deaf = false
+		v.Set(standin.Obedient)
 	}
 	w.run(3 * time.Second)
 	g.Expect(w.maintained).To(gomega.Equal([]string{"m-" + free}))
@@ -179,7 +182,7 @@
 	w.machines = nil
 	for id, v := range w.vms {
 		w.machines = append(w.machines, schedule.Machine{
-			Name: "m-" + id, Pool: v.vm.Pool, VM: id, Capacity: v.vm.Capacity, Centre: v.vm.Centre,
+			Name: "m-" + id, Pool: v.VM.Pool, VM: id, Capacity: v.VM.Capacity, Centre: v.VM.Centre,
 		})
 	}
 	w.core.SetMachines(w.machines, w.now)
@@ -220,7 +223,7 @@
 	w := newWorld(t, 3)
 	w.run(time.Second)
 	for _, v := range w.vms {
-		v.fails = true
+		v.Fail(true)
 	}
 	w.submit(batch("1", 1))
 	w.run(1300 * time.Millisecond)
@@ -230,3 +233,147 @@
 	g.Expect(w.starts).To(gomega.HaveLen(2))
 	g.Expect(w.starts[0].VM).NotTo(gomega.Equal(w.starts[1].VM), "the second attempt goes elsewhere")
 }
+
+// TestHandOver: after an owner has left, the next one starts what waits at once,
+// also beside a VM that answers nothing, and runs nothing twice.
+func TestHandOver(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 3)
+	w.run(time.Second)
+	w.submit(service("1", 1, 1))
+	w.submit(batch("2", 24))
+	w.run(500 * time.Millisecond)
+	for _, v := range w.vms {
+		if len(v.Running()) > 0 {
+			v.Set(standin.Deaf)
+			break
+		}
+	}
+	w.run(500 * time.Millisecond)
+	w.core.Close()
+	w.record()
+	w.elect()
+	starts := len(w.starts)
+	w.run(300 * time.Millisecond)
+	g.Expect(len(w.starts)).To(gomega.BeNumerically(">", starts), "waiting tasks don't wait for the silent VM")
+	w.run(12 * time.Second)
+	g.Expect(phase(w, "2")).To(gomega.Equal(job.Completed))
+}
+
+// TestSuddenChangeOfOwner: jobs of the new owner start at once while what the
+// old one may have started on a silent VM waits until it has lapsed.
+func TestSuddenChangeOfOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 3)
+	w.run(time.Second)
+	w.submit(batch("1", 2))
+	w.step(50 * time.Millisecond)
+	// The owner dies at once, and the VM that runs the tasks can't be reached.
+	for _, v := range w.vms {
+		if len(v.Running()) > 0 {
+			v.Set(standin.Deaf)
+		}
+	}
+	w.elect()
+	starts := len(w.starts)
+	w.run(300 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.HaveLen(starts), "they may still run there")
+	w.submit(batch("2", 2))
+	w.run(300 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.HaveLen(starts + 2))
+	w.run(10 * time.Second)
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+}
+
+// TestSpreadBringsVMs: a pool whose tasks can't spread over its VMs gets more,
+// though it has room in sum.
+func TestSpreadBringsVMs(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 2)
+	w.view.Spare = "spare"
+	w.core.SetView(w.view, w.now)
+	for id, v := range w.vms {
+		w.machines = append(w.machines, schedule.Machine{Name: "m-" + id, Pool: "till", VM: id, Capacity: v.VM.Capacity})
+	}
+	w.machines = append(w.machines, schedule.Machine{Name: "m-spare", Pool: "spare", Capacity: job.Resources{CPU: 8000, Memory: 16000}})
+	w.core.SetMachines(w.machines, w.now)
+	w.run(time.Second)
+	w.submit(service("1", 3, 1))
+	w.run(time.Second)
+	g.Expect(w.moved).To(gomega.ContainElement(schedule.Move{Machine: "m-spare", Pool: "till"}))
+}
+
+// TestTurns plays a load in which two queues take turns at asking for more than
+// their pool has, and checks what callers get with and without moves.
+func TestTurns(t *testing.T) {
+	g := gomega.NewWithT(t)
+	still := playTurns(t, false)
+	moving := playTurns(t, true)
+	t.Logf("completed in time: %d of %d without moves, %d with", still, turnsJobs, moving)
+	g.Expect(moving).To(gomega.BeNumerically(">=", still*11/10), "moves serve a tenth more in time")
+}
+
+// turnsJobs is the number of jobs that playTurns hands in.
+const turnsJobs = 384
+
+func playTurns(t *testing.T, moves bool) int {
+	w := newWorld(t, 4)
+	w.view.Queues["r"] = schedule.Queue{Name: "r", Pool: "rest", Attempts: 2, Stretch: 1.6, Slack: 600 * time.Millisecond}
+	w.view.Spare = "spare"
+	w.core.SetView(w.view, w.now)
+	for _, id := range []string{"r-0", "r-1", "r-2", "r-3"} {
+		w.addVM(id, "rest")
+	}
+	w.list()
+	if moves {
+		w.moves()
+	}
+	w.run(time.Second)
+	late := make(map[job.ID]time.Time)
+	for second := range 16 {
+		queue := []string{"q", "r"}[second/4%2]
+		for k := range 24 {
+			j := batch(job.ID(queue+string(rune('a'+second))+string(rune('A'+k))), 1)
+			j.Queue = queue
+			w.submit(j)
+			late[j.ID] = w.now.Add(2200 * time.Millisecond)
+			if k%6 == 5 {
+				w.run(250 * time.Millisecond)
+			}
+		}
+	}
+	good := 0
+	for id, limit := range late {
+		s := job.NewState(w.jobs[id])
+		if w.kept[id] == nil || s.Load(w.kept[id]) != nil {
+			continue
+		}
+		if s.Phase() == job.Completed && !s.Ended().After(limit) {
+			good++
+		}
+	}
+	return good
+}
+
+// moves makes the platform carry out moves: a machine's VM ends, and another one
+// comes up in the new pool.
+func (w *world) moves() {
+	w.platform = func(a schedule.Move) {
+		for i := range w.machines {
+			m := &w.machines[i]
+			if m.Name != a.Machine {
+				continue
+			}
+			delete(w.vms, m.VM)
+			m.Pool, m.VM = a.Pool, ""
+			if a.Pool != w.view.Spare {
+				m.VM = w.addVM(m.Name+"@"+w.now.String(), a.Pool).VM.ID
+			}
+		}
+		w.list()
+		w.core.SetMachines(w.machines, w.now)
+	}
+	for id, v := range w.vms {
+		w.machines = append(w.machines, schedule.Machine{Name: "m-" + id, Pool: v.VM.Pool, VM: id, Capacity: v.VM.Capacity})
+	}
+}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -31,7 +31,8 @@
 	to       string
 	vm       string
 	capacity job.Resources
-	// since is when the order was first given, ordered when it was last given.
+	// since is when the machine was chosen. Ordered is when the order was last
+	// given, zero while its VM is still being emptied.
 	since, ordered time.Time
 	// done is when the platform accepted the order; zero means not yet.
 	done time.Time
@@ -43,8 +44,12 @@
 // load is what a pool asks for and has.
 type load struct {
 	pool *pool
-	// want is what all its tasks that run or could run need.
+	// want is what its tasks need whose jobs can be in time, and its service tasks.
 	want job.Resources
+	// missed is what the waiting tasks need whose jobs can't be in time any more.
+	missed job.Resources
+	// full lists its VMs that run only tasks with an end, the least used first.
+	full []*vm
 	// lately is the want with peaks that fall off slowly.
 	lately job.Resources
 	// have is the room of its VMs, with those on their way.
@@ -141,6 +146,8 @@
 		switch {
 		case !there:
 			c.endMove(name)
+		case m.ordered.IsZero():
+			c.emptyForMove(name, m, now)
 		case !m.done.IsZero():
 			if at.State == Up && at.Pool == m.to && c.listed.After(m.done) && now.Sub(m.done) > c.config.Move {
 				c.endMove(name)
@@ -154,6 +161,18 @@
 	}
 }
 
+// emptyForMove orders the move of a machine once its VM runs nothing.
+func (c *Core) emptyForMove(name string, m *move, now time.Time) {
+	v := c.vms[m.vm]
+	switch {
+	case v == nil || v.silent || now.Sub(m.since) > emptyWithin:
+		c.endMove(name)
+	case len(v.runs) == 0:
+		m.ordered = now
+		c.actions = append(c.actions, Move{Machine: name, Pool: m.to})
+	}
+}
+
 func (c *Core) endMove(name string) {
 	c.keep(c.moves[name].vm, false)
 	delete(c.moves, name)
@@ -212,41 +231,68 @@
 
 func (c *Core) loadOf(p *pool, now time.Time) *load {
 	l := &load{pool: p, least: leastVMs}
-	for _, v := range p.vms {
-		if !v.listed || v.Draining || v.kept || c.view.Out[v.Centre] {
-			continue
-		}
-		l.have = l.have.Plus(v.Capacity)
-		l.vms++
-		l.want = l.want.Plus(v.used)
-		if v.attached && !v.silent && !v.raise && len(v.runs) == 0 {
-			l.idle = append(l.idle, v)
-		}
-	}
 	for _, g := range p.stages {
-		if !g.open || g.due.After(now) {
-			continue
+		g.rank = c.rank(g, now)
+		if g.open && !g.due.After(now) {
+			l.addStage(g, now)
 		}
-		l.least = max(l.least, g.leastVMs())
-		if g.waiting == 0 {
-			continue
+	}
+	for _, v := range p.vms {
+		if v.listed && !v.Draining && !v.kept && !c.view.Out[v.Centre] {
+			l.addVM(v)
 		}
-		l.blocked = l.blocked || !g.blocked.IsZero() && now.Sub(g.blocked) > blockedFor
-		l.want = l.want.Plus(g.need().Times(int64(g.waiting)))
-		l.urgent = l.urgent || c.view.Queues[g.work.Queue].Priority == 0
 	}
+	slices.SortFunc(l.idle, func(a, b *vm) int {
+		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.ID, b.ID))
+	})
+	slices.SortFunc(l.full, func(a, b *vm) int {
+		return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
+	})
 	// Work that comes in at a steady rate occupies as many processors as it brings
 	// seconds of work a second; its tasks show that only once they have piled up.
 	if coming := int64(1000 * steadyShare * p.offered.rate(now)); coming > l.want.CPU {
 		l.want.CPU = coming
 	}
 	l.lately = p.peak.follow(l.want, now)
-	slices.SortFunc(l.idle, func(a, b *vm) int {
-		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.ID, b.ID))
-	})
 	return l
 }
 
+// addVM adds a VM that may take tasks.
+func (l *load) addVM(v *vm) {
+	l.have = l.have.Plus(v.Capacity)
+	l.vms++
+	for _, r := range v.runs {
+		if r.task.stage.rank != rankMissed {
+			l.want = l.want.Plus(r.need)
+		}
+	}
+	if !v.attached || v.silent || v.raise {
+		return
+	}
+	switch {
+	case len(v.runs) == 0:
+		l.idle = append(l.idle, v)
+	case !v.serves():
+		l.full = append(l.full, v)
+	}
+}
+
+// addStage adds the tasks of a stage that wait.
+func (l *load) addStage(g *stage, now time.Time) {
+	l.least = max(l.least, g.leastVMs())
+	if g.waiting == 0 {
+		return
+	}
+	need := g.need().Times(int64(g.waiting))
+	if g.rank == rankMissed {
+		l.missed = l.missed.Plus(need)
+		return
+	}
+	l.want = l.want.Plus(need)
+	l.urgent = l.urgent || g.rank == rankUrgent
+	l.blocked = l.blocked || !g.blocked.IsZero() && now.Sub(g.blocked) > blockedFor
+}
+
 // blockedFor is how long a task finds no VM before its pool gets one more.
 const blockedFor = 150 * time.Millisecond
 
@@ -299,10 +345,37 @@
 	return job.Resources{CPU: int64(p.cpu), Memory: int64(p.memory), GPU: want.GPU}
 }
 
-// feed moves machines to the pools that lack room, the most urgent first.
+// feed moves machines to the pools that lack room, the most urgent first. Those
+// that lack it only for jobs which are late anyway get what nobody else needs.
 func (c *Core) feed(loads []*load, now time.Time) {
-	short := slices.DeleteFunc(slices.Clone(loads), func(l *load) bool { return !l.short() })
-	slices.SortStableFunc(short, func(a, b *load) int {
+	for _, l := range shortOf(loads) {
+		for l.short() {
+			m, ok := c.source(l, loads)
+			if ok {
+				c.moveTo(m, l, now)
+				continue
+			}
+			if l.missing() < emptyFor || !c.emptyOne(l, loads, now) {
+				break
+			}
+		}
+	}
+	for _, l := range loads {
+		l.want = l.want.Plus(l.missed)
+		for l.missing() > 0 {
+			m, ok := c.source(l, loads)
+			if !ok {
+				return
+			}
+			c.moveTo(m, l, now)
+		}
+	}
+}
+
+// shortOf returns the pools that lack room, the most urgent first.
+func shortOf(loads []*load) []*load {
+	out := slices.DeleteFunc(slices.Clone(loads), func(l *load) bool { return !l.short() })
+	slices.SortStableFunc(out, func(a, b *load) int {
 		if a.urgent != b.urgent {
 			if a.urgent {
 				return -1
@@ -311,15 +384,42 @@
 		}
 		return cmp.Compare(b.missing(), a.missing())
 	})
-	for _, l := range short {
-		for l.short() {
-			m, ok := c.source(l, loads)
-			if !ok {
-				return
+	return out
+}
+
+const (
+	// emptyWithin bounds the time in which a VM that is to move ends its tasks.
+	emptyWithin = 2500 * time.Millisecond
+	// emptyFor is the room, in thousandths of a core, from which a pool that lacks
+	// it has VMs of others emptied.
+	emptyFor = 4000
+)
+
+// emptyOne begins to empty a VM of a pool that has more than it needs in time.
+func (c *Core) emptyOne(to *load, loads []*load, now time.Time) bool {
+	for _, l := range loads {
+		if l == to || l.short() {
+			continue
+		}
+		for i, v := range l.full {
+			m, ok := c.machineOf(v.ID)
+			if !ok || !l.spares(v) {
+				continue
 			}
-			c.moveTo(m, l, now)
+			l.full = slices.Delete(l.full, i, i+1)
+			l.have = l.have.Minus(v.Capacity)
+			l.vms--
+			to.have = to.have.Plus(v.Capacity)
+			to.vms++
+			to.coming++
+			c.moves[m.Name] = &move{to: to.pool.name, vm: v.ID, capacity: v.Capacity, since: now}
+			c.keep(v.ID, true)
+			c.config.Log.Info("machine to move", "machine", m.Name, "from", l.pool.name, "to", to.pool.name,
+				"vm", v.ID, "runs", len(v.runs))
+			return true
 		}
 	}
+	return false
 }
 
 // source returns the machine that another pool misses least.
@@ -397,6 +497,9 @@
 		return
 	}
 	for _, l := range loads {
+		if l.missing() > 0 {
+			continue
+		}
 		for _, v := range l.idle {
 			m, ok := c.machineOf(v.ID)
 			if !ok || v.idleSince.IsZero() || now.Sub(v.idleSince) < parkAfter || !l.spares(v) {
--- a/standin/store.go
+++ b/standin/keyspace.go
@@ -8,9 +8,9 @@
 	"almondcove/etcd"
 )
 
-// store is a key-value store with revisions, leases and history. It is not
+// keyspace is a key-value store with revisions, leases and history. It is not
 // safe for concurrent use.
-type store struct {
+type keyspace struct {
 	rev    int64
 	keys   map[string]etcd.KV
 	log    []logged
@@ -34,11 +34,11 @@
 	end time.Time
 }
 
-func newStore() *store {
-	return &store{rev: 1, keys: make(map[string]etcd.KV), leases: make(map[int64]*lease)}
+func newKeyspace() *keyspace {
+	return &keyspace{rev: 1, keys: make(map[string]etcd.KV), leases: make(map[int64]*lease)}
 }
 
-func (s *store) scan(r *etcd.RangeRequest) *etcd.RangeResponse {
+func (s *keyspace) scan(r *etcd.RangeRequest) *etcd.RangeResponse {
 	out := &etcd.RangeResponse{Header: etcd.Header{Revision: s.rev}}
 	if len(r.End) == 0 {
 		if kv, ok := s.keys[string(r.Key)]; ok {
@@ -64,11 +64,11 @@
 }
 
 // txn runs a transaction at one new revision.
-func (s *store) txn(t *etcd.TxnRequest, now time.Time) *etcd.TxnResponse {
+func (s *keyspace) txn(t *etcd.TxnRequest, now time.Time) *etcd.TxnResponse {
 	return s.txnAt(t, s.rev+1, now)
 }
 
-func (s *store) txnAt(t *etcd.TxnRequest, rev int64, now time.Time) *etcd.TxnResponse {
+func (s *keyspace) txnAt(t *etcd.TxnRequest, rev int64, now time.Time) *etcd.TxnResponse {
 	ok := true
 	for _, c := range t.Compare {
 		ok = ok && s.holds(c)
@@ -85,7 +85,7 @@
 	return out
 }
 
-func (s *store) holds(c etcd.Compare) bool {
+func (s *keyspace) holds(c etcd.Compare) bool {
 	kv := s.keys[string(c.Key)]
 	switch c.Target {
 	case etcd.TargetMod:
@@ -98,7 +98,7 @@
 	return false
 }
 
-func (s *store) run(op etcd.Op, rev int64, now time.Time) etcd.OpResponse {
+func (s *keyspace) run(op etcd.Op, rev int64, now time.Time) etcd.OpResponse {
 	switch {
 	case op.Txn != nil:
 		return etcd.OpResponse{Txn: s.txnAt(op.Txn, rev, now)}
@@ -114,7 +114,7 @@
 	return etcd.OpResponse{}
 }
 
-func (s *store) put(p *etcd.PutRequest, rev int64, now time.Time) {
+func (s *keyspace) put(p *etcd.PutRequest, rev int64, now time.Time) {
 	kv := etcd.KV{Key: p.Key, Value: p.Value, Lease: p.Lease, Created: rev, Mod: rev, Version: 1}
 	if old, ok := s.keys[string(p.Key)]; ok {
 		kv.Created = old.Created
@@ -124,7 +124,7 @@
 	s.keys[string(p.Key)] = kv
 }
 
-func (s *store) remove(d *etcd.DeleteRequest, rev int64, now time.Time) int64 {
+func (s *keyspace) remove(d *etcd.DeleteRequest, rev int64, now time.Time) int64 {
 	var n int64
 	for key, kv := range s.keys {
 		if within(kv.Key, d.Key, d.End) {
@@ -137,7 +137,7 @@
 }
 
 // write logs an event with what it replaces.
-func (s *store) write(e etcd.Event, rev int64, now time.Time) {
+func (s *keyspace) write(e etcd.Event, rev int64, now time.Time) {
 	entry := logged{at: now, rev: rev, event: e}
 	if old, ok := s.keys[string(e.KV.Key)]; ok {
 		entry.old = &old
@@ -148,7 +148,7 @@
 
 // rewind takes back all writes after the given time. Leases that had not ended
 // then live once more.
-func (s *store) rewind(to, now time.Time) {
+func (s *keyspace) rewind(to, now time.Time) {
 	s.takeBack(to)
 	for _, kv := range s.keys {
 		if kv.Lease != 0 && s.leases[kv.Lease] == nil {
@@ -157,7 +157,7 @@
 	}
 }
 
-func (s *store) takeBack(to time.Time) {
+func (s *keyspace) takeBack(to time.Time) {
 	for len(s.log) > 0 {
 		last := s.log[len(s.log)-1]
 		if !last.at.After(to) {
@@ -174,7 +174,7 @@
 }
 
 // events returns the events from revision start on for a range of keys.
-func (s *store) events(start int64, key, end []byte) []etcd.Event {
+func (s *keyspace) events(start int64, key, end []byte) []etcd.Event {
 	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].rev >= start })
 	var out []etcd.Event
 	for _, l := range s.log[i:] {
@@ -185,14 +185,14 @@
 	return out
 }
 
-func (s *store) grant(ttl time.Duration, now time.Time) int64 {
+func (s *keyspace) grant(ttl time.Duration, now time.Time) int64 {
 	s.lease++
 	s.leases[s.lease] = &lease{ttl: ttl, end: now.Add(ttl)}
 	return s.lease
 }
 
 // renew returns the lease's time to live, or zero when it has ended.
-func (s *store) renew(id int64, now time.Time) time.Duration {
+func (s *keyspace) renew(id int64, now time.Time) time.Duration {
 	l := s.leases[id]
 	if l == nil {
 		return 0
@@ -202,7 +202,7 @@
 }
 
 // expire ends the leases whose time has come, or all.
-func (s *store) expire(now time.Time, all bool) {
+func (s *keyspace) expire(now time.Time, all bool) {
 	for id, l := range s.leases {
 		if all || !now.Before(l.end) {
 			s.revoke(id, now)
@@ -210,7 +210,7 @@
 	}
 }
 
-func (s *store) revoke(id int64, now time.Time) {
+func (s *keyspace) revoke(id int64, now time.Time) {
 	delete(s.leases, id)
 	for _, kv := range s.keys {
 		if kv.Lease == id {
--- /dev/null
+++ b/standin/keyvalue_test.go
@@ -0,0 +1,13 @@
+package standin_test
+
+import (
+	"testing"
+
+	"almondcove/standin"
+	"almondcove/store"
+	"almondcove/store/storetest"
+)
+
+func TestKeyValue(t *testing.T) {
+	storetest.Run(t, func(*testing.T) store.Store { return standin.NewKeyValue() })
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -31,7 +31,7 @@
 	mux    *http.ServeMux
 	faults *faults
 	mu     sync.Mutex
-	store  *store
+	store  *keyspace
 	// wake is closed and replaced after each write.
 	wake chan struct{}
 	// age grows with each rewind, which ends all watches.
@@ -40,12 +40,12 @@
 
 // NewPlatform returns an empty store.
 func NewPlatform() *Platform {
-	p := &Platform{mux: http.NewServeMux(), store: newStore(), wake: make(chan struct{})}
+	p := &Platform{mux: http.NewServeMux(), store: newKeyspace(), wake: make(chan struct{})}
 	p.faults = newFaults(p.fault, faultDown, faultSlow, faultLost, faultLapse, faultRewind)
 	handle(p, "/v3/kv/range", func(in *etcd.RangeRequest) any { return p.store.scan(in) })
 	handle(p, "/v3/kv/put", p.put)
 	handle(p, "/v3/kv/deleterange", p.remove)
-	handle(p, "/v3/kv/txn", func(in *etcd.TxnRequest) any { return p.store.txn(in, time.Now()) })
+	handle(p, "/v3/kv/txn", p.txn)
 	handle(p, "/v3/lease/grant", p.grant)
 	handle(p, "/v3/lease/keepalive", p.keepAlive)
 	handle(p, "/v3/lease/revoke", p.revoke)
@@ -125,10 +125,25 @@
 			hangUp(w)
 			return
 		}
+		if refused, ok := out.(etcd.ErrorResponse); ok {
+			reply(w, http.StatusNotFound, refused)
+			return
+		}
 		reply(w, http.StatusOK, out)
 	})
 }
 
+// txn runs a transaction. One that puts a key under a lease that is not there is
+// refused.
+func (p *Platform) txn(in *etcd.TxnRequest) any {
+	for _, op := range in.Success {
+		if op.Put != nil && op.Put.Lease != 0 && p.store.leases[op.Put.Lease] == nil {
+			return etcd.ErrorResponse{Code: 5, Message: "requested lease not found"}
+		}
+	}
+	return p.store.txn(in, time.Now())
+}
+
 // admit applies the faults that come before a call and reports whether it goes on.
 func (p *Platform) admit(w http.ResponseWriter, r *http.Request) bool {
 	if p.faults.active(faultDown) {
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -57,11 +57,11 @@
 	faults *faults
 	conns  connections
 	mu     sync.Mutex
-	tasks  map[string]*job
+	tasks  map[string]*execution
 	ended  []string
 	starts []Start
 	busy   int
-	last   *job
+	last   *execution
 }
 
 // Start is one start of a task, as GET /tasks lists it.
@@ -72,8 +72,8 @@
 	Time time.Time `json:"time"`
 }
 
-// job is one task that the upstream knows.
-type job struct {
+// execution is one task that the upstream knows.
+type execution struct {
 	id string
 	// done is nil for a task that was fenced before it arrived.
 	done   chan struct{}
@@ -99,7 +99,7 @@
 	if c.Reboot <= 0 {
 		c.Reboot = rebootTime
 	}
-	u := &Upstream{config: c, boot: rand.Text(), mux: http.NewServeMux(), tasks: make(map[string]*job)}
+	u := &Upstream{config: c, boot: rand.Text(), mux: http.NewServeMux(), tasks: make(map[string]*execution)}
 	u.faults = newFaults(u.fault, faultSilent, faultSlow, faultCrossed, faultCut, faultFail, faultBusy, faultLeaving, faultPause)
 	u.mux.HandleFunc("PUT /tasks/{id}", u.put)
 	u.mux.HandleFunc("GET /tasks/{id}", u.get)
@@ -183,7 +183,7 @@
 
 // admit registers a task that may start, or returns a known one, or says why
 // the task is refused. It reports whether the task is a new one.
-func (u *Upstream) admit(id string, h http.Header) (j *job, fresh bool, why string) {
+func (u *Upstream) admit(id string, h http.Header) (j *execution, fresh bool, why string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if j, ok := u.tasks[id]; ok {
@@ -203,14 +203,14 @@
 		return nil, false, upstream.WhyBusy
 	}
 	u.busy++
-	j = &job{id: id, stop: make(chan struct{}), done: make(chan struct{})}
+	j = &execution{id: id, stop: make(chan struct{}), done: make(chan struct{})}
 	u.tasks[id] = j
 	u.starts = append(u.starts, Start{ID: id, Team: h.Get(upstream.HeaderTeam), VM: u.config.VM, Time: time.Now()})
 	return j, true, ""
 }
 
 // run carries a task out and stores its answer.
-func (u *Upstream) run(j *job, h http.Header, body []byte) {
+func (u *Upstream) run(j *execution, h http.Header, body []byte) {
 	start := time.Now()
 	lease, err := time.ParseDuration(h.Get(upstream.HeaderLease))
 	if err != nil {
@@ -243,7 +243,7 @@
 
 // compose stores the answer: the caller's own bytes when it accepts only
 // those, and else the outcome.
-func (u *Upstream) compose(j *job, h http.Header, out outcome, body []byte) {
+func (u *Upstream) compose(j *execution, h http.Header, out outcome, body []byte) {
 	if h.Get("Accept") == "application/octet-stream" && j.status == http.StatusOK {
 		j.kind, j.body = "application/octet-stream", body
 		return
@@ -263,7 +263,7 @@
 }
 
 // work takes the run time and reports whether the task was stopped before its end.
-func (u *Upstream) work(j *job, d, lease time.Duration) bool {
+func (u *Upstream) work(j *execution, d, lease time.Duration) bool {
 	timer := time.NewTimer(min(d, lease))
 	defer timer.Stop()
 	select {
@@ -275,7 +275,7 @@
 }
 
 // remember forgets the oldest ended task when there are too many.
-func (u *Upstream) remember(j *job) {
+func (u *Upstream) remember(j *execution) {
 	u.last = j
 	u.ended = append(u.ended, j.id)
 	if len(u.ended) > remembered {
@@ -318,7 +318,7 @@
 	u.mu.Lock()
 	j, ok := u.tasks[id]
 	if !ok {
-		j = &job{id: id}
+		j = &execution{id: id}
 		u.tasks[id] = j
 	}
 	run := j.done != nil
@@ -368,7 +368,7 @@
 			close(j.stop)
 		}
 	}
-	u.tasks, u.ended = make(map[string]*job), nil
+	u.tasks, u.ended = make(map[string]*execution), nil
 	u.boot = rand.Text()
 	u.mu.Unlock()
 	u.faults.set(faultPause, u.config.Reboot)
@@ -396,7 +396,7 @@
 }
 
 // answer sends a finished task's answer. The first answer is subject to faults.
-func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, j *job, first bool) {
+func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, j *execution, first bool) {
 	u.mu.Lock()
 	status, kind, body, last := j.status, j.kind, j.body, u.last
 	u.mu.Unlock()
