--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -99,6 +99,7 @@
 	operators *mirror.Mirror
 	list      *mirror.Mirror
 	server    *grpc.Server
+	metrics   *metrics
 
 	mu sync.Mutex
 	// met is when each other entry was last met while this one owned the jobs.
@@ -124,6 +125,7 @@
 	}
 	n.links = peer.NewJobLinks(c.Network.DialContext)
 	n.relay = peer.NewRelay(peer.RelayConfig{Direct: c.Store, Links: n.links, Peers: n.relays})
+	n.metrics = newMetrics(n)
 	n.startOwner()
 	n.startMirrors()
 	n.serve(l)
@@ -140,8 +142,9 @@
 		Ledger: book, Schedule: c.Schedule,
 		Valid: n.valid,
 		VMs:   c.VMs, Machines: c.Machines,
-		Report: func(ctx context.Context, s []schedule.WaveState) error { return c.Report(ctx, n.relay, s) },
-		Log:    c.Log,
+		Report:    func(ctx context.Context, s []schedule.WaveState) error { return c.Report(ctx, n.relay, s) },
+		Committed: n.metrics.committed, Ordered: n.metrics.ordered,
+		Log: c.Log,
 	})
 	s := shard.New(shard.Config{
 		Store: n.relay, Prefix: c.Prefix, Self: c.Self, Clock: c.Clock,
--- /dev/null
+++ b/jobs/metrics.go
@@ -0,0 +1,140 @@
+package jobs
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"almondcove/owner"
+)
+
+// metrics counts what a node does.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	took     *prometheus.HistogramVec
+	commits  *prometheus.CounterVec
+	commit   prometheus.Histogram
+	orders   *prometheus.CounterVec
+}
+
+// fastest is the upper bound of the first bucket of the histograms in seconds.
+const fastest = 0.001
+
+func newMetrics(n *Node) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "almondcove_requests_total", Help: "Requests about jobs by kind and outcome.",
+		}, []string{"request", "outcome"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "almondcove_request_seconds", Help: "Time from a request about a job to its outcome.",
+			Buckets: prometheus.ExponentialBuckets(fastest, 2, 13),
+		}, []string{"request"}),
+		commits: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "almondcove_commits_total", Help: "Commits to the ledger by outcome.",
+		}, []string{"outcome"}),
+		commit: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "almondcove_commit_seconds", Help: "Time of a commit to the ledger.",
+			Buckets: prometheus.ExponentialBuckets(fastest, 2, 13),
+		}),
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "almondcove_orders_total", Help: "Orders to VMs and machines by kind and result.",
+		}, []string{"order", "result"}),
+	}
+	labels := prometheus.Labels{"entry": n.config.Self.Name, "centre": n.config.Self.Centre}
+	prometheus.WrapRegistererWith(labels, m.registry).MustRegister(
+		m.requests, m.took, m.commits, m.commit, m.orders, &gauges{node: n},
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// request counts one request and returns its answer.
+func (m *metrics) request(kind string, began time.Time, a owner.Answer) owner.Answer {
+	m.requests.WithLabelValues(kind, a.Outcome.String()).Inc()
+	m.took.WithLabelValues(kind).Observe(time.Since(began).Seconds())
+	return a
+}
+
+// committed counts one commit.
+func (m *metrics) committed(took time.Duration, err error) {
+	outcome := "written"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.commits.WithLabelValues(outcome).Inc()
+	m.commit.Observe(took.Seconds())
+}
+
+// ordered counts one order.
+func (m *metrics) ordered(order, result string) {
+	m.orders.WithLabelValues(order, result).Inc()
+}
+
+// Metrics returns a handler that serves the metrics of the node.
+func (n *Node) Metrics() http.Handler {
+	return promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// gauges reads the state of a node when it is asked for.
+type gauges struct {
+	node *Node
+}
+
+// The gauges and the counters of the owner.
+var (
+	ownerDesc    = prometheus.NewDesc("almondcove_owner", "1 while this entry owns the jobs.", nil, nil)
+	epochDesc    = prometheus.NewDesc("almondcove_epoch", "Epoch of the owner that this entry knows.", nil, nil)
+	recordsDesc  = prometheus.NewDesc("almondcove_records_revision", "Revision of the operators' records in force.", nil, nil)
+	storeDesc    = prometheus.NewDesc("almondcove_store_age_seconds", "Time since the store last answered this entry itself.", nil, nil)
+	vmsDesc      = prometheus.NewDesc("almondcove_vms", "VMs of the owner by pool and state.", []string{"pool", "state"}, nil)
+	waitingDesc  = prometheus.NewDesc("almondcove_tasks_waiting", "Tasks that wait for a VM, by pool.", []string{"pool"}, nil)
+	startsDesc   = prometheus.NewDesc("almondcove_task_starts_total", "Orders to start a task.", nil, nil)
+	endsDesc     = prometheus.NewDesc("almondcove_task_ends_total", "Ends of runs that VMs have listed.", nil, nil)
+	failuresDesc = prometheus.NewDesc("almondcove_task_failures_total", "Ends of runs as failed.", nil, nil)
+	lapsesDesc   = prometheus.NewDesc("almondcove_task_lapses_total", "Runs taken as ended without an end.", nil, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (g *gauges) Describe(c chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		ownerDesc, epochDesc, recordsDesc, storeDesc, vmsDesc, waitingDesc, startsDesc, endsDesc, failuresDesc, lapsesDesc,
+	} {
+		c <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (g *gauges) Collect(c chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	count := func(d *prometheus.Desc, v int64) {
+		c <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v))
+	}
+	owning := 0.0
+	if g.node.valid() {
+		owning = 1
+	}
+	gauge(ownerDesc, owning)
+	if o, ok := g.node.shard.Owner(); ok {
+		gauge(epochDesc, float64(o.Epoch))
+	}
+	gauge(recordsDesc, float64(g.node.operators.Copy().Rev))
+	gauge(storeDesc, time.Since(g.node.relay.Heard()).Seconds())
+	stats, pools := g.node.owner.Stats()
+	for _, p := range pools {
+		gauge(vmsDesc, float64(p.Usable), p.Name, "usable")
+		gauge(vmsDesc, float64(p.Silent), p.Name, "silent")
+		gauge(vmsDesc, float64(p.Closed), p.Name, "closed")
+		gauge(waitingDesc, float64(p.Waiting), p.Name)
+	}
+	count(startsDesc, stats.Starts)
+	count(endsDesc, stats.Ends)
+	count(failuresDesc, stats.Failures)
+	count(lapsesDesc, stats.Lapses)
+}
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -30,7 +30,7 @@
 
 // ask passes a request on to the owner: to the own one, or by a call.
 func (n *Node) ask(
-	ctx context.Context, local func(context.Context) owner.Answer,
+	ctx context.Context, kind string, local func(context.Context) owner.Answer,
 	remote func(context.Context, shard.Owner) (owner.Answer, error),
 ) owner.Answer {
 	began := time.Now()
@@ -56,7 +56,7 @@
 	if out.Outcome == owner.Refused && n.CutOff() {
 		out.Retry = retryCutOff
 	}
-	return out
+	return n.metrics.request(kind, began, out)
 }
 
 // conclude turns the last answer of several tries into the answer for the caller.
@@ -99,7 +99,7 @@
 
 // Submit hands a job to the owner.
 func (n *Node) Submit(ctx context.Context, j *job.Job) owner.Answer {
-	return n.ask(ctx,
+	return n.ask(ctx, "submit",
 		func(ctx context.Context) owner.Answer { return n.owner.Submit(ctx, j) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
 			return n.links.Submit(ctx, o.Address, j)
@@ -108,7 +108,7 @@
 
 // Cancel asks the owner to cancel a job.
 func (n *Node) Cancel(ctx context.Context, id job.ID) owner.Answer {
-	return n.ask(ctx,
+	return n.ask(ctx, "cancel",
 		func(ctx context.Context) owner.Answer { return n.owner.Cancel(ctx, id) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
 			return n.links.Cancel(ctx, o.Address, id)
@@ -117,7 +117,7 @@
 
 // Show asks the owner for a job.
 func (n *Node) Show(ctx context.Context, id job.ID) owner.Answer {
-	return n.ask(ctx,
+	return n.ask(ctx, "show",
 		func(context.Context) owner.Answer { return n.owner.Show(id) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
 			return n.links.Show(ctx, o.Address, id)
@@ -126,7 +126,7 @@
 
 // Count asks the owner for the number of a queue's jobs that wait.
 func (n *Node) Count(ctx context.Context, queue string) owner.Answer {
-	return n.ask(ctx,
+	return n.ask(ctx, "count",
 		func(context.Context) owner.Answer { return n.owner.Count(queue) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
 			return n.links.Count(ctx, o.Address, queue)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -73,7 +73,10 @@
 	Machines Machines
 	// Report writes how far maintenance waves are.
 	Report func(ctx context.Context, states []schedule.WaveState) error
-	Log    hclog.Logger
+	// Committed is told of each commit, and Ordered of each order and its result.
+	Committed func(took time.Duration, err error)
+	Ordered   func(order, result string)
+	Log       hclog.Logger
 }
 
 // Owner carries out the schedule. Its methods may be called from any goroutine.
@@ -386,6 +389,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, h.Wait+holdTimeout)
 	defer cancel()
 	report, result := o.config.VMs.Hold(ctx, v, h)
+	o.config.Ordered("hold", result.String())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.core != core {
@@ -476,6 +480,7 @@
 	if o.config.Valid() {
 		result = o.config.VMs.Start(ctx, v, a)
 	}
+	o.config.Ordered("start", result.String())
 	o.tell(core, func(now time.Time) { core.Started(a, result, now) })
 }
 
@@ -486,6 +491,7 @@
 	if o.config.Valid() {
 		result = o.config.VMs.Stop(ctx, v, a)
 	}
+	o.config.Ordered("stop", result.String())
 	o.tell(core, func(now time.Time) { core.Stopped(a, result, now) })
 }
 
@@ -496,6 +502,7 @@
 	if o.config.Valid() {
 		result = o.config.VMs.Pace(ctx, v, a)
 	}
+	o.config.Ordered("pace", result.String())
 	o.tell(core, func(now time.Time) { core.Paced(a, result, now) })
 }
 
@@ -506,6 +513,7 @@
 	if o.config.Valid() {
 		result = o.config.Machines.Maintain(ctx, epoch, a)
 	}
+	o.config.Ordered("maintain", result.String())
 	o.tell(core, func(now time.Time) { core.Maintained(a, result, now) })
 }
 
@@ -516,6 +524,7 @@
 	if o.config.Valid() {
 		result = o.config.Machines.Move(ctx, epoch, a)
 	}
+	o.config.Ordered("move", result.String())
 	o.tell(core, func(now time.Time) { core.Moved(a, result, now) })
 }
 
@@ -577,3 +586,14 @@
 	}
 	return true
 }
+
+// Stats returns what the owner has counted, and its pools; both are empty while
+// this entry owns nothing.
+func (o *Owner) Stats() (schedule.Stats, []schedule.PoolState) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil || !o.active {
+		return schedule.Stats{}, nil
+	}
+	return o.core.Stats(), o.core.Pools(time.Now())
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -224,7 +224,9 @@
 		return
 	}
 	if l.batch.Size() > 0 {
+		began := time.Now()
 		err = o.config.Ledger.Commit(o.ctx, l.batch)
+		o.config.Committed(time.Since(began), err)
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -255,6 +255,41 @@
 // Stats returns what has been counted.
 func (c *Core) Stats() Stats { return c.stats }
 
+// PoolState is the state of one pool.
+type PoolState struct {
+	Name string
+	// Usable is the number of VMs that take tasks, Silent of those that answer
+	// nothing, and Closed of all others.
+	Usable, Silent, Closed int
+	// Waiting is the number of tasks that wait for a VM.
+	Waiting int
+}
+
+// Pools returns the state of all pools.
+func (c *Core) Pools(now time.Time) []PoolState {
+	var out []PoolState
+	for _, p := range c.sortedPools() {
+		s := PoolState{Name: p.name}
+		for _, v := range p.vms {
+			switch {
+			case v.silent:
+				s.Silent++
+			case c.takes(v, now):
+				s.Usable++
+			default:
+				s.Closed++
+			}
+		}
+		for _, g := range p.stages {
+			if g.open {
+				s.Waiting += g.waiting
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 func (c *Core) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -297,6 +297,14 @@
 	}
 	since := g.blocked
 	g.blocked = time.Time{}
+	placed := 0
+	defer func() {
+		if placed > 0 {
+			c.config.Log.Info("tasks placed", "job", g.id.Job, "occurrence", g.id.Occurrence, "step", g.id.Step,
+				"count", placed, "left", g.waiting, "rank", g.rank, "age", now.Sub(g.due).Milliseconds(),
+				"vms", len(vms), "version", c.view.Version)
+		}
+	}()
 	for _, t := range g.tasks {
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
@@ -313,6 +321,7 @@
 			return false
 		}
 		c.start(t, v, t.number+1, now)
+		placed++
 	}
 	return true
 }
