--- a/schedule/core.go
+++ b/schedule/core.go
@@ -159,6 +159,8 @@
 	notBefore  time.Time
 	// failedOn lists the VMs on which runs have failed.
 	failedOn []string
+	// again is how often the task was started elsewhere for slowness.
+	again int
 	// atWork is since when a service task works, zero while it doesn't.
 	atWork time.Time
 }
@@ -187,6 +189,8 @@
 	percent     int
 	load        int64
 	pace        int
+	// moved is when the run last made progress.
+	moved time.Time
 	// stopSent is when the last order to stop was given.
 	stopSent time.Time
 	// unsure is set when the order to start was not answered.
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -377,3 +377,21 @@
 		w.machines = append(w.machines, schedule.Machine{Name: "m-" + id, Pool: v.VM.Pool, VM: id, Capacity: v.VM.Capacity})
 	}
 }
+
+// TestStalledVM: tasks that make no progress on a VM which answers start
+// elsewhere, and the job is completed.
+func TestStalledVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	w.submit(batch("1", 4))
+	w.step(50 * time.Millisecond)
+	for _, v := range w.vms {
+		if len(v.Running()) > 0 {
+			v.Set(standin.Stalled)
+		}
+	}
+	w.run(4 * time.Second)
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+	g.Expect(w.stops).To(gomega.HaveLen(4))
+}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -292,6 +292,7 @@
 		c.end(v, e, now)
 	}
 	c.progress(v, r, now)
+	c.hasten(v, now)
 	if h.Fence == v.fence(c.epoch) && !v.raise {
 		c.settle(v, h, r, now)
 	}
@@ -308,7 +309,8 @@
 			r.state = running
 		}
 		r.unsure = false
-		r.checkpoint, r.percent, r.load = p.Checkpoint, p.Percent, p.Load
+		r.checkpoint, r.load = p.Checkpoint, p.Load
+		r.advanced(p.Percent, now)
 		c.works(r, now)
 	}
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -42,11 +42,22 @@
 	Dumb
 	// Deaf gets no order, and what it runs goes on.
 	Deaf
+	// Stalled obeys, and nothing that it runs makes any progress.
+	Stalled
 )
 
 type workerRun struct {
-	ends time.Time
-	need job.Resources
+	began, ends time.Time
+	need        job.Resources
+	service     bool
+}
+
+// percent returns how far a run has come.
+func (r *workerRun) percent(now time.Time) int {
+	if r.service {
+		return 100
+	}
+	return min(int(100*now.Sub(r.began)/max(r.ends.Sub(r.began), 1)), 99)
 }
 
 // hold is the longest lease that a worker grants.
@@ -90,6 +101,7 @@
 	defer w.mu.Unlock()
 	for _, r := range w.runs() {
 		switch {
+		case w.fault == Stalled:
 		case w.until > 0 && now.Sub(w.start) > w.until:
 			w.end(r, schedule.Lapsed)
 		case !now.Before(w.running[r].ends) && w.fails:
@@ -159,7 +171,11 @@
 	}
 	out := schedule.Report{Clock: clock, Born: w.VM.Born, Ended: slices.Clone(w.ended)}
 	for _, r := range w.runs() {
-		out.Running = append(out.Running, schedule.Progress{Run: r, Percent: 100})
+		p := schedule.Progress{Run: r, Percent: w.running[r].percent(now)}
+		if w.fault == Stalled {
+			p.Percent = 0
+		}
+		out.Running = append(out.Running, p)
 	}
 	return out, schedule.Accepted
 }
@@ -188,7 +204,7 @@
 	if s.Filler {
 		need.CPU = 0
 	}
-	w.running[a.Run] = &workerRun{ends: ends, need: need}
+	w.running[a.Run] = &workerRun{began: now, ends: ends, need: need, service: s.Service}
 	if w.Fleet != nil {
 		w.Fleet.started(w, a.Run)
 	}
