Shorten the lease of entries to 2 s

Cause: a silent owner (frozen, cut off with its zone, without power) was replaced after 3 s; outages of the store no longer count against the lease, since pledges cover them.

--- a/shard/shard.go
+++ b/shard/shard.go
@@ -36,11 +36,11 @@
 const (
 	// TTL is how long an entry that renews nothing stays registered. It bounds
 	// the time until a silent owner is replaced.
-	TTL = 3 * time.Second
+	TTL = 2 * time.Second
 	// margin is subtracted from TTL for the owner's own view of its lease.
 	margin = 200 * time.Millisecond
 	// renewEvery leaves four tries within TTL.
-	renewEvery = 600 * time.Millisecond
+	renewEvery = 400 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 1200 * time.Millisecond
 	// watchWait is how long one watch may wait; a shorter one finds a silent
@@ -51,7 +51,7 @@
 	// PledgeFor is how long an entry that has pledged so stands for no election.
 	PledgeFor = 2 * time.Second
 	// askAfter is the age of the last renewal from which an owner asks for pledges.
-	askAfter = 1200 * time.Millisecond
+	askAfter = 800 * time.Millisecond
 	// standPause spreads the entries that stand for election.
 	standPause = 120 * time.Millisecond
 )
