--- a/schedule/core.go
+++ b/schedule/core.go
@@ -77,6 +77,10 @@
 	told time.Time
 	// learned holds what is known of each queue's tasks and jobs.
 	learned map[string]*learned
+	// runsOn holds the machine of each VM.
+	runsOn map[string]string
+	// arranged is when waves and moves were last planned.
+	arranged time.Time
 	// listed is when the list of machines was asked for.
 	listed time.Time
 	waves  map[int64]*wave
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -209,8 +209,8 @@
 		out = append(out, l)
 		byName[p.name] = l
 	}
-	for _, m := range c.moves {
-		if l := byName[m.to]; l != nil && c.vmOf(m) == nil {
+	for name, m := range c.moves {
+		if l := byName[m.to]; l != nil && c.vmOf(name, m) == nil {
 			l.have = l.have.Plus(m.capacity)
 			l.vms++
 			l.coming++
@@ -219,14 +219,13 @@
 	return out
 }
 
-// vmOf returns the new VM of a machine that has moved, once it is attached.
-func (c *Core) vmOf(m *move) *vm {
-	for _, at := range c.machines {
-		if at.VM != "" && at.VM != m.vm && at.Pool == m.to && c.moves[at.Name] == m {
-			return c.vms[at.VM]
-		}
+// vmOf returns the new VM of a machine that has moved, once it is listed.
+func (c *Core) vmOf(name string, m *move) *vm {
+	at := c.machines[name]
+	if at.VM == "" || at.VM == m.vm || at.Pool != m.to {
+		return nil
 	}
-	return nil
+	return c.vms[at.VM]
 }
 
 func (c *Core) loadOf(p *pool, now time.Time) *load {
@@ -469,12 +468,8 @@
 
 // machineOf returns the machine on which a VM runs, if it can be moved.
 func (c *Core) machineOf(id string) (Machine, bool) {
-	for _, m := range c.machines {
-		if m.VM == id {
-			return m, m.State == Up && !c.takenElsewhere(m.Name)
-		}
-	}
-	return Machine{}, false
+	m, ok := c.machines[c.runsOn[id]]
+	return m, ok && m.State == Up && !c.takenElsewhere(m.Name)
 }
 
 func (c *Core) moveTo(m Machine, l *load, now time.Time) {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -11,6 +11,10 @@
 // fullPace is the pace of a task that is not slowed down, in percent.
 const fullPace = 100
 
+// arrangeEvery is the least time between two looks at machines: they take more
+// than a second to move, and looking costs as much as there are VMs.
+const arrangeEvery = 30 * time.Millisecond
+
 // gate closes a pool for starts until a VM has answered a new owner, or until
 // whatever it may run has lapsed.
 type gate struct {
@@ -99,8 +103,11 @@
 	}
 	c.book(now)
 	c.tick(now)
-	c.planWaves(now)
-	c.planMoves(now)
+	if now.Sub(c.arranged) >= arrangeEvery {
+		c.arranged = now
+		c.planWaves(now)
+		c.planMoves(now)
+	}
 	for _, p := range c.sortedPools() {
 		c.planPool(p, now)
 	}
@@ -312,7 +319,7 @@
 		if !c.withinCap(g, 1) {
 			return false
 		}
-		v := c.choose(t, vms, now)
+		v := c.choose(t, vms)
 		if v == nil {
 			g.blocked = since
 			if since.IsZero() {
@@ -336,14 +343,14 @@
 }
 
 // choose returns the VM for a task, or nil when none fits.
-func (c *Core) choose(t *task, vms []*vm, now time.Time) *vm {
+func (c *Core) choose(t *task, vms []*vm) *vm {
 	var best *vm
 	var bestCost float64
 	for _, v := range vms {
 		if !c.fits(t.stage, v) {
 			continue
 		}
-		cost := c.cost(t, v, now)
+		cost := c.cost(t, v)
 		if best == nil || cost < bestCost {
 			best, bestCost = v, cost
 		}
@@ -386,7 +393,7 @@
 )
 
 // cost returns how unwelcome a VM is for a task.
-func (c *Core) cost(t *task, v *vm, now time.Time) float64 {
+func (c *Core) cost(t *task, v *vm) float64 {
 	sum := costFree * (1 - float64(v.used.CPU)/float64(max(v.Capacity.CPU, 1)))
 	if t.stage.step.Service && len(v.runs) == 0 {
 		// Service tasks gather, so that other VMs fall idle and can be moved.
@@ -404,7 +411,7 @@
 			sum += costFailed
 		}
 	}
-	return sum + c.waveCost(v, now)
+	return sum + v.waveCost()
 }
 
 // start orders a task's run.
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -62,7 +62,7 @@
 	if !c.withinCap(g, 1) {
 		return
 	}
-	if v := c.choose(t, vms, now); v != nil && v != t.runs[0].vm {
+	if v := c.choose(t, vms); v != nil && v != t.runs[0].vm {
 		c.start(t, v, t.number+1, now)
 	}
 }
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -59,6 +59,8 @@
 	past map[time.Time]bool
 	// idleSince is when the last run ended, or when the VM came.
 	idleSince time.Time
+	// due is set while the VM's machine waits for maintenance.
+	due bool
 	// stray is set while the VM runs something that the core knows nothing of.
 	stray bool
 	// kept is set while nothing new may start because the machine is to be taken.
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -69,8 +69,12 @@
 func (c *Core) SetMachines(list []Machine, asked time.Time) {
 	c.listed = asked
 	c.machines = make(map[string]Machine, len(list))
+	c.runsOn = make(map[string]string, len(list))
 	for _, m := range list {
 		c.machines[m.Name] = m
+		if m.VM != "" {
+			c.runsOn[m.VM] = m.Name
+		}
 	}
 }
 
@@ -116,6 +120,7 @@
 
 // planWaves takes machines out of service for maintenance.
 func (c *Core) planWaves(now time.Time) {
+	c.markDue()
 	for _, w := range c.sortedWaves() {
 		c.advance(w, now)
 		for c.away(w) < max(w.Cap, 1) {
@@ -266,7 +271,7 @@
 
 // placeable reports whether a task could start on another VM now.
 func (c *Core) placeable(t *task, now time.Time) bool {
-	return c.choose(t, c.usable(c.pool(c.view.Queues[t.stage.work.Queue].Pool), now), now) != nil
+	return c.choose(t, c.usable(c.pool(c.view.Queues[t.stage.work.Queue].Pool), now)) != nil
 }
 
 // patience is how long a VM of a wave may take to finish its tasks.
@@ -305,15 +310,25 @@
 }
 
 // waveCost is what it costs to start a task on a VM whose machine is due.
-func (c *Core) waveCost(v *vm, _ time.Time) float64 {
+func (v *vm) waveCost() float64 {
+	if v.due {
+		return waveAvoid
+	}
+	return 0
+}
+
+// markDue notes on which VMs tasks would soon have to leave for maintenance.
+func (c *Core) markDue() {
+	for _, v := range c.vms {
+		v.due = false
+	}
 	for _, w := range c.waves {
 		for _, name := range w.Machines {
-			if !w.begun[name] && c.machines[name].VM == v.ID {
-				return waveAvoid
+			if v := c.vms[c.machines[name].VM]; v != nil && !w.begun[name] {
+				v.due = true
 			}
 		}
 	}
-	return 0
 }
 
 // Maintained takes the result of an order for maintenance.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -63,6 +63,8 @@
 	Run     string         `json:"run"`
 	Centre  string         `json:"centre"`
 	Address netip.AddrPort `json:"address"`
+	// Power is the share of a processor that the entry has, in thousandths.
+	Power int `json:"power,omitempty"`
 }
 
 // Owner is the entry that owns the jobs.
@@ -523,7 +525,7 @@
 		case <-s.stand:
 		}
 		for s.stands() {
-			if !sleep(s.ctx, rand.N(standPause)) {
+			if !sleep(s.ctx, s.yield()+rand.N(standPause)) {
 				return
 			}
 			if !s.stands() {
@@ -539,6 +541,23 @@
 	}
 }
 
+// yield is how long this entry lets those with more power go first.
+func (s *Shard) yield() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most := s.config.Self.Power
+	for _, m := range s.members {
+		most = max(most, m.Power)
+	}
+	if most == 0 {
+		return 0
+	}
+	return time.Duration(float64(yieldMost) * float64(most-s.config.Self.Power) / float64(most))
+}
+
+// yieldMost is how long the weakest entry lets others go first.
+const yieldMost = 400 * time.Millisecond
+
 // stands reports whether this entry should try to become the owner.
 func (s *Shard) stands() bool {
 	s.mu.Lock()
