--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -11,9 +11,9 @@
 // fullPace is the pace of a task that is not slowed down, in percent.
 const fullPace = 100
 
-// arrangeEvery is the least time between two looks at machines: they take more
-// than a second to move, and looking costs as much as there are VMs.
-const arrangeEvery = 30 * time.Millisecond
+// arrangePause is the least time between two looks at machines, for each VM:
+// looking costs as much as there are VMs.
+const arrangePause = 100 * time.Microsecond
 
 // gate closes a pool for starts until a VM has answered a new owner, or until
 // whatever it may run has lapsed.
@@ -103,7 +103,7 @@
 	}
 	c.book(now)
 	c.tick(now)
-	if now.Sub(c.arranged) >= arrangeEvery {
+	if now.Sub(c.arranged) >= arrangePause*time.Duration(len(c.vms)) {
 		c.arranged = now
 		c.planWaves(now)
 		c.planMoves(now)
