--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -79,6 +79,7 @@
 	Schedule schedule.Config
 	VMs      owner.VMs
 	Machines owner.Machines
+	Advisor  owner.Advisor
 	// Report writes how far maintenance waves are.
 	Report  func(ctx context.Context, s store.Store, states []schedule.WaveState) error
 	Network network.Network
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -25,6 +25,12 @@
 	Move(ctx context.Context, token int64, m schedule.Move) schedule.MachineResult
 }
 
+// Advisor says which VMs may run the tasks of a step.
+type Advisor interface {
+	// Advise returns a ticket for each VM that may, and how long tickets hold.
+	Advise(ctx context.Context, a schedule.Advise) (map[string]string, time.Duration, error)
+}
+
 // Outcome is what came of a caller's request.
 type Outcome int
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -71,6 +71,7 @@
 	Valid    func() bool
 	VMs      VMs
 	Machines Machines
+	Advisor  Advisor
 	// Report writes how far maintenance waves are.
 	Report func(ctx context.Context, states []schedule.WaveState) error
 	// Committed is told of each commit, and Ordered of each order and its result.
@@ -459,6 +460,7 @@
 	case schedule.Move:
 		o.done.Go(func() { o.move(core, epoch, a) })
 	case schedule.Advise:
+		o.done.Go(func() { o.advise(core, a) })
 	}
 }
 
@@ -506,6 +508,20 @@
 	o.tell(core, func(now time.Time) { core.Paced(a, result, now) })
 }
 
+// adviceTimeout bounds a question to the advice service, which takes its
+// questions in turn.
+const adviceTimeout = 2500 * time.Millisecond
+
+func (o *Owner) advise(core *schedule.Core, a schedule.Advise) {
+	ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
+	defer cancel()
+	tickets, valid, err := o.config.Advisor.Advise(ctx, a)
+	if err != nil {
+		o.config.Log.Warn("no advice", "job", a.Stage.Job, "step", a.Stage.Step, "error", err)
+	}
+	o.tell(core, func(now time.Time) { core.Advised(a.Stage, tickets, valid, now) })
+}
+
 func (o *Owner) maintain(core *schedule.Core, epoch int64, a schedule.Maintain) {
 	ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
 	defer cancel()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -619,10 +619,3 @@
 	}
 	return 0, true
 }
-
-// Paced takes the result of an order to pace.
-func (c *Core) Paced(p Pace, result Result, _ time.Time) {
-	if result != Accepted {
-		c.config.Log.Info("pace not accepted", "run", p.Run, "vm", p.VM, "result", result)
-	}
-}
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -395,3 +395,45 @@
 	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
 	g.Expect(w.stops).To(gomega.HaveLen(4))
 }
+
+// TestPace: a filler beside a service task that comes near its target is slowed
+// down, and let go on again when the service task is well.
+func TestPace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 1)
+	w.run(time.Second)
+	j := service("1", 1, 1)
+	j.Steps[0].Target = 100 * time.Millisecond
+	w.submit(j)
+	f := service("2", 1, 1)
+	f.Steps[0].Filler = true
+	w.submit(f)
+	w.run(time.Second)
+	w.vms["vm-0"].Load(95)
+	w.run(1500 * time.Millisecond)
+	g.Expect(w.paces).NotTo(gomega.BeEmpty())
+	g.Expect(w.paces[len(w.paces)-1]).To(gomega.BeNumerically("<=", 25))
+	w.vms["vm-0"].Load(10)
+	w.run(12 * time.Second)
+	g.Expect(w.paces[len(w.paces)-1]).To(gomega.Equal(100))
+}
+
+// TestAdvice: the tasks of an advised queue start only on VMs with a ticket, and
+// carry it.
+func TestAdvice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 3)
+	q := w.view.Queues["q"]
+	q.Advised = true
+	w.view.Queues["q"] = q
+	w.core.SetView(w.view, w.now)
+	w.advice = map[string]string{"vm-1": "ticket"}
+	w.run(time.Second)
+	w.submit(batch("1", 3))
+	w.run(3 * time.Second)
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+	for _, s := range w.starts {
+		g.Expect(s.VM).To(gomega.Equal("vm-1"))
+		g.Expect(s.Ticket).To(gomega.Equal("ticket"))
+	}
+}
--- a/schedule/health.go
+++ b/schedule/health.go
@@ -50,12 +50,6 @@
 	}
 }
 
-// advice is what the advice service said of a stage.
-type advice struct {
-	tickets map[string]string
-	until   time.Time
-}
-
 func compareRuns(a, b Run) int {
 	return cmp.Or(
 		cmp.Compare(a.Task.Job, b.Task.Job),
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -195,7 +195,7 @@
 // nothing about others.
 func (g *stage) constrained() bool {
 	s := g.step
-	return s.Spread > 0 || s.Label != "" || s.Gang || s.Together || s.Filler || g.work.Team != ""
+	return len(g.advice.tickets) > 0 || s.Spread > 0 || s.Label != "" || s.Gang || s.Together || s.Filler || g.work.Team != ""
 }
 
 // order returns the stages with waiting tasks, the most important first.
@@ -299,6 +299,7 @@
 // planStage starts the waiting tasks of a stage and reports whether all of them
 // have found a VM.
 func (c *Core) planStage(g *stage, vms []*vm, now time.Time) bool {
+	vms = c.advised(g, vms, now)
 	if g.step.Gang {
 		return c.planGang(g, vms, now)
 	}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -59,6 +59,8 @@
 	past map[time.Time]bool
 	// idleSince is when the last run ended, or when the VM came.
 	idleSince time.Time
+	// paced is when the pace of its fillers was last changed.
+	paced time.Time
 	// due is set while the VM's machine waits for maintenance.
 	due bool
 	// stray is set while the VM runs something that the core knows nothing of.
@@ -295,6 +297,7 @@
 	}
 	c.progress(v, r, now)
 	c.hasten(v, now)
+	c.paceVM(v, now)
 	if h.Fence == v.fence(c.epoch) && !v.raise {
 		c.settle(v, h, r, now)
 	}
@@ -384,6 +387,11 @@
 		return
 	}
 	w.state.Start()
+	if t.stage.step.Filler {
+		// The owner before may have paced it; what it said is not known.
+		r.pace = adoptedPace
+		c.actions = append(c.actions, Pace{VM: v.ID, Run: r.id, Percent: r.pace, Fence: v.fence(c.epoch)})
+	}
 }
 
 // ghost returns a task that stands for a run which is only to be stopped.
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -37,6 +37,9 @@
 	machines   []schedule.Machine
 	view       schedule.View
 	moved      []schedule.Move
+	paces      []int
+	// advice holds the tickets of the VMs that may run anything.
+	advice map[string]string
 	// platform carries out moves; nil carries out none.
 	platform func(schedule.Move)
 }
@@ -206,7 +209,12 @@
 			if w.platform != nil {
 				w.platform(a)
 			}
-		case schedule.Look, schedule.Pace, schedule.Advise:
+		case schedule.Pace:
+			w.paces = append(w.paces, a.Percent)
+			w.core.Paced(a, schedule.Accepted, w.now)
+		case schedule.Advise:
+			w.core.Advised(a.Stage, w.advice, 3*time.Second, w.now)
+		case schedule.Look:
 		}
 	}
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -29,6 +29,7 @@
 	number  int64
 	fault   WorkerFault
 	fails   bool
+	load    int64
 }
 
 // WorkerFault is how a worker misbehaves.
@@ -86,6 +87,13 @@
 	w.fails = fails
 }
 
+// Load sets the response times that service tasks report, in milliseconds.
+func (w *Worker) Load(tail int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.load = tail
+}
+
 // Restart ends everything and starts the worker anew under its id.
 func (w *Worker) Restart(now time.Time) {
 	w.mu.Lock()
@@ -171,7 +179,7 @@
 	}
 	out := schedule.Report{Clock: clock, Born: w.VM.Born, Ended: slices.Clone(w.ended)}
 	for _, r := range w.runs() {
-		p := schedule.Progress{Run: r, Percent: w.running[r].percent(now)}
+		p := schedule.Progress{Run: r, Percent: w.running[r].percent(now), Load: w.load}
 		if w.fault == Stalled {
 			p.Percent = 0
 		}
