--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -437,3 +437,26 @@
 		g.Expect(s.Ticket).To(gomega.Equal("ticket"))
 	}
 }
+
+// TestMaintenanceOfUnheardVM: a new owner sends no machine to maintenance whose VM
+// has not said yet what it runs.
+func TestMaintenanceOfUnheardVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 3)
+	w.run(time.Second)
+	w.submit(service("1", 3, 1))
+	w.run(time.Second)
+	for _, v := range w.vms {
+		v.Set(standin.Dumb)
+	}
+	w.elect()
+	w.maintain("vm-0", 1)
+	w.run(time.Second)
+	g.Expect(w.maintained).To(gomega.BeEmpty())
+	w.vms["vm-1"].Set(standin.Obedient)
+	w.vms["vm-2"].Set(standin.Obedient)
+	w.run(2 * time.Second)
+	g.Expect(w.maintained).To(gomega.BeEmpty())
+	w.run(10 * time.Second)
+	g.Expect(w.maintained).To(gomega.Equal([]string{"m-vm-0"}), "what it ran has lapsed")
+}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -221,7 +221,7 @@
 				c.giveBack(w, name)
 			}
 		case t.ordered.IsZero():
-			if v := c.vms[t.vm]; v == nil || c.empty(v, t, w, now) {
+			if c.mayTake(t, w, now) {
 				c.orderMaintenance(w, t, name, now)
 			}
 		case !t.denied.IsZero() && !t.unsure && c.listed.After(t.denied) && m.State == Up:
@@ -233,6 +233,26 @@
 	}
 }
 
+// unheardFor is how long a VM that is not listed is waited for.
+const unheardFor = 2 * time.Second
+
+// mayTake reports whether nothing runs any more on a machine that a wave has taken.
+func (c *Core) mayTake(t *take, w *wave, now time.Time) bool {
+	v := c.vms[t.vm]
+	if v == nil {
+		return t.vm == "" || now.Sub(t.since) > unheardFor
+	}
+	return c.empty(v, t, w, now) && c.heardOf(v, now)
+}
+
+// heardOf reports whether all that a VM may run is known.
+func (c *Core) heardOf(v *vm, now time.Time) bool {
+	if v.attached && !v.silent {
+		return true
+	}
+	return c.gates[v.ID] == nil && now.After(v.lapse)
+}
+
 // giveBack ends what a wave had to do with a machine.
 func (c *Core) giveBack(w *wave, name string) {
 	c.keep(w.taken[name].vm, false)
