--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	m := mirror.New(mirror.Config{Store: s, Prefix: "servers/", Changed: func(mirror.Copy) { wake() }})
+//	m := mirror.New(mirror.Config{Store: s, Prefix: "vms/", Changed: func(mirror.Copy) { wake() }})
 //	defer m.Close()
 //	copy := m.Copy()
 package mirror
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -44,8 +44,6 @@
 	Epoch int64
 	// Hold is the longest lease that VMs grant.
 	Hold time.Duration
-	// Stop bounds the time that a run takes to stop.
-	Stop time.Duration
 	// Maintenance is how long a machine is away for maintenance.
 	Maintenance time.Duration
 	// Move is how long a machine is away when it moves to another pool.
