--- a/owner/record.go
+++ b/owner/record.go
@@ -33,7 +33,8 @@
 			o.mu.Unlock()
 			return refusal
 		}
-		j.Epoch = o.term.Epoch
+		// The owner's clock counts: those of the entries differ.
+		j.Epoch, j.Accepted = o.term.Epoch, time.Now()
 		a = &acceptance{job: j, answer: make(chan Answer, 1)}
 		o.pending[j.ID] = a
 		o.queue = append(o.queue, a)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -305,7 +305,7 @@
 func (c *Core) open(w *work, now time.Time) {
 	for k := range w.Occurrences() {
 		due := w.Due(k)
-		if due.After(now.Add(occurrenceAhead)) {
+		if w.Times > 0 && due.After(now.Add(occurrenceAhead)) {
 			return
 		}
 		for i := range w.Steps {
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -460,3 +460,34 @@
 	w.run(10 * time.Second)
 	g.Expect(w.maintained).To(gomega.Equal([]string{"m-vm-0"}), "what it ran has lapsed")
 }
+
+// TestClockAhead: a job that was accepted by a clock ahead of the owner's starts at once.
+func TestClockAhead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	j := batch("1", 2)
+	w.jobs["1"] = j
+	w.kept["1"] = nil
+	j.Accepted, j.Epoch = w.now.Add(3*time.Second), w.epoch
+	w.core.Add(j, job.NewState(j), w.now)
+	w.run(2 * time.Second)
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+}
+
+// TestTimes: each occurrence of a timed job starts when it is due and not before.
+func TestTimes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	j := batch("1", 1)
+	j.Times, j.First, j.Every = 2, w.now.Add(3*time.Second), 2*time.Second
+	w.submit(j)
+	w.run(2900 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.BeEmpty())
+	w.run(time.Second)
+	g.Expect(w.starts).To(gomega.HaveLen(1))
+	w.run(4 * time.Second)
+	g.Expect(w.starts).To(gomega.HaveLen(2))
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -123,7 +123,7 @@
 	l := &load{pool: p, least: leastVMs}
 	for _, g := range p.stages {
 		g.rank = c.rankOf(g, now)
-		if g.open && !g.due.After(now) {
+		if g.open && g.isDue(now) {
 			l.addStage(g, now)
 		}
 	}
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -14,7 +14,7 @@
 func (c *Core) order(p *pool, now time.Time) []*stage {
 	var out []*stage
 	for _, g := range p.stages {
-		if g.open && g.waiting > 0 && !g.due.After(now) {
+		if g.open && g.waiting > 0 && g.isDue(now) {
 			g.rank = c.rankOf(g, now)
 			g.value = c.value(g)
 			out = append(out, g)
@@ -61,6 +61,12 @@
 	return rankLater
 }
 
+// isDue reports whether the tasks of a stage may start as far as time goes. Only
+// timed jobs wait: another entry's clock may have been ahead when it took the job.
+func (g *stage) isDue(now time.Time) bool {
+	return g.work.Times == 0 || !g.due.After(now)
+}
+
 // objective returns when the stage's occurrence has to be completed.
 func (g *stage) objective(c *Core) time.Time {
 	return g.due.Add(c.allowance(g.work))
