Give the stand-in's failures a type

Cause: the house style asks for a type for every failure; the key-value stand-in used a bare errors.New as the cause of what its faults bring about. Change: the type Injected.

--- a/standin/keyvalue.go
+++ b/standin/keyvalue.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -52,8 +51,10 @@
 // lateFor is how long a Late transaction is on its way.
 const lateFor = 3 * time.Second
 
-// errFault is the cause of the failures that faults bring about.
-var errFault = errors.New("fault of the stand-in")
+// Injected is the cause of a failure that a fault brings about.
+type Injected struct{}
+
+func (*Injected) Error() string { return "standin: fault" }
 
 // NewKeyValue returns an empty service.
 func NewKeyValue() *KeyValue {
@@ -155,7 +156,7 @@
 	k.mu.Unlock()
 	switch fault {
 	case Refuse:
-		return false, &store.Unavailable{Call: call, Refused: true, Cause: errFault}
+		return false, &store.Unavailable{Call: call, Refused: true, Cause: &Injected{}}
 	case Mute, Late:
 		<-ctx.Done()
 		return false, &store.Uncertain{Call: call, Cause: ctx.Err()}
@@ -236,7 +237,7 @@
 	defer k.mu.Unlock()
 	k.expire()
 	if len(t.Guards)+len(t.Puts)+len(t.Removes) > 3*store.MaxTxn {
-		return 0, &store.Invalid{Call: "commit", Cause: errFault}
+		return 0, &store.Invalid{Call: "commit", Cause: &Injected{}}
 	}
 	conflict := &store.Conflict{}
 	holds := true
@@ -331,7 +332,7 @@
 		k.mu.Unlock()
 		switch {
 		case fault != Sound && fault != Lose:
-			return nil, after, &store.Uncertain{Call: "watch", Cause: errFault}
+			return nil, after, &store.Uncertain{Call: "watch", Cause: &Injected{}}
 		case gone:
 			return nil, after, &store.Compacted{After: after}
 		case len(events) > 0:
