--- a/entry/balance.go
+++ b/entry/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/peer"
 )
@@ -11,7 +12,7 @@
 // balance keeps the entry's starts on contended pools in proportion to those of
 // the data centre's other entries, and tells them its own demands, until ctx ends.
 func (e *Entry) balance(ctx context.Context) {
-	for sleep(ctx, peer.Beat) {
+	for delay.For(ctx, peer.Beat) {
 		others := e.othersDemands()
 		var own []dispatch.Demand
 		e.work.do(func(core *dispatch.Core, _ time.Time) {
--- a/entry/change.go
+++ b/entry/change.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/etcd"
 	"almondcove/fleet"
 	"almondcove/timeline"
@@ -198,7 +199,7 @@
 		if err == nil {
 			return e.judge(kv, wrote, cause)
 		}
-		if !sleep(ctx, doubtPause) {
+		if !delay.For(ctx, doubtPause) {
 			return &Doubtful{Cause: cause}
 		}
 	}
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/etcd"
 	"almondcove/task"
 )
@@ -243,7 +244,7 @@
 			}
 			return
 		}
-		if !sleep(ctx, doubtPause) {
+		if !delay.For(ctx, doubtPause) {
 			answer(batch, claimReply{err: &Doubtful{Cause: cause}})
 			return
 		}
--- a/entry/leader.go
+++ b/entry/leader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/etcd"
 	"almondcove/fleet"
 	"almondcove/peer"
@@ -52,7 +53,7 @@
 // run seeks to lead and leads until ctx ends.
 func (l *leader) run(ctx context.Context) {
 	// The first look comes at once, so that a new data centre starts quickly.
-	for wait := time.Duration(0); sleep(ctx, wait); wait = leadPause {
+	for wait := time.Duration(0); delay.For(ctx, wait); wait = leadPause {
 		if l.entry.Leaving() || l.otherLeads() {
 			continue
 		}
@@ -107,7 +108,7 @@
 	var reading sync.WaitGroup
 	reading.Go(func() { l.follow(ctx) })
 	reading.Go(func() { l.compare(ctx, cancel) })
-	for sleep(ctx, leadPause) && !l.entry.Leaving() {
+	for delay.For(ctx, leadPause) && !l.entry.Leaving() {
 		begun := time.Now()
 		l.mu.Lock()
 		lease := l.lease
@@ -141,7 +142,7 @@
 // follow reads everything and then every change, again and again when the
 // stream breaks.
 func (l *leader) follow(ctx context.Context) {
-	for wait := time.Duration(0); sleep(ctx, wait); wait = leadPause / 4 {
+	for wait := time.Duration(0); delay.For(ctx, wait); wait = leadPause / 4 {
 		kvs, rev, err := l.entry.platform.List(ctx, l.prefix())
 		if err != nil {
 			continue
@@ -159,7 +160,7 @@
 // not the one held, since then the watch has missed something.
 func (l *leader) compare(ctx context.Context, cancel context.CancelFunc) {
 	missed := 0
-	for sleep(ctx, readPause) {
+	for delay.For(ctx, readPause) {
 		kv, err := l.entry.platform.Get(ctx, l.headKey())
 		if err != nil || kv.Mod == 0 {
 			continue
--- a/entry/lend.go
+++ b/entry/lend.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/limit"
 	"almondcove/peer"
@@ -26,7 +27,7 @@
 // lend borrows units that waiting tasks lack, renews loans that are in use and
 // returns the others, until ctx ends.
 func (e *Entry) lend(ctx context.Context) {
-	for sleep(ctx, lendPause) {
+	for delay.For(ctx, lendPause) {
 		e.renew(ctx)
 		e.returnOwed(ctx)
 		e.borrow(ctx)
--- a/entry/probe.go
+++ b/entry/probe.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/timeline"
 )
@@ -34,7 +35,7 @@
 	probing := make(map[string]bool)
 	var all sync.WaitGroup
 	defer all.Wait()
-	for sleep(ctx, probePause) {
+	for delay.For(ctx, probePause) {
 		var suspects []string
 		e.work.read(func(core *dispatch.Core, _ time.Time) { suspects = core.Table().Suspects() })
 		for _, vm := range suspects {
@@ -72,7 +73,7 @@
 			e.note(timeline.Event{Kind: "clear", VM: vm})
 			return
 		}
-		if !sleep(ctx, wait) {
+		if !delay.For(ctx, wait) {
 			return
 		}
 	}
--- a/entry/record.go
+++ b/entry/record.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/peer"
 )
 
@@ -18,7 +19,7 @@
 func (e *Entry) record(ctx context.Context) {
 	var written []byte
 	var expired time.Time
-	for sleep(ctx, recordPause) {
+	for delay.For(ctx, recordPause) {
 		if e.leader.leads() {
 			written = e.recordMembers(ctx, written)
 			if time.Since(expired) > claimAge && e.claims.expire(ctx) == nil {
--- a/entry/roll.go
+++ b/entry/roll.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/lo"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/fleet"
 	"almondcove/peer"
@@ -65,7 +66,7 @@
 
 // run plans while the entry leads, until ctx ends.
 func (r *roller) run(ctx context.Context) {
-	for sleep(ctx, rollPause) {
+	for delay.For(ctx, rollPause) {
 		if !r.entry.leader.leads() || r.entry.Leaving() {
 			r.reset()
 			continue
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/etcd"
 	"almondcove/fleet"
@@ -64,7 +65,7 @@
 	wait := settleTime
 	idle := seatPause
 	for {
-		if !sleep(ctx, wait) {
+		if !delay.For(ctx, wait) {
 			return
 		}
 		wait = seatPause
@@ -333,7 +334,7 @@
 		if err == nil {
 			return s.tookEffect(now, next)
 		}
-		if !sleep(ctx, seatPause) {
+		if !delay.For(ctx, seatPause) {
 			break
 		}
 	}
@@ -367,20 +368,8 @@
 	s.withdraw(limit.Seats)
 	for s.isGiving() {
 		s.give(ctx)
-		if s.isGiving() && !sleep(ctx, seatPause/5) {
+		if s.isGiving() && !delay.For(ctx, seatPause/5) {
 			return
 		}
 	}
 }
-
-// sleep waits for d and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/status.go
+++ b/entry/status.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"almondcove/delay"
 	"almondcove/dispatch"
 	"almondcove/fleet"
 	"almondcove/peer"
@@ -31,7 +32,7 @@
 func (e *Entry) Force(ctx context.Context, rev uint64, r *fleet.Restriction) Force {
 	for {
 		f := e.force(ctx, rev, r)
-		if f.Everywhere() || !sleep(ctx, forcePause) {
+		if f.Everywhere() || !delay.For(ctx, forcePause) {
 			return f
 		}
 	}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,6 +25,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/job"
 	"almondcove/store"
 )
@@ -184,24 +185,13 @@
 		if done || err != nil {
 			return err
 		}
-		if err := wait(ctx, pause); err != nil {
-			return &Unsettled{Cause: err}
+		if !delay.For(ctx, pause) {
+			return &Unsettled{Cause: ctx.Err()}
 		}
 		pause = min(2*pause, mostPause)
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
-
 // try sends the batch once and reports whether it is now written.
 func (l *Ledger) try(ctx context.Context, puts []store.Put, b Batch) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,6 +19,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"almondcove/delay"
 	"almondcove/store"
 )
 
@@ -122,7 +123,7 @@
 	for m.ctx.Err() == nil {
 		if !m.config.Active() {
 			after = 0
-			m.sleep(retryPause)
+			delay.For(m.ctx, retryPause)
 			continue
 		}
 		next, err := m.step(after)
@@ -134,7 +135,7 @@
 			if _, ok := errors.Into[*store.Compacted](err); ok {
 				next = 0
 			}
-			m.sleep(retryPause)
+			delay.For(m.ctx, retryPause)
 		} else if failed {
 			m.config.Log.Info("store regained", "prefix", m.config.Prefix, "revision", next)
 			failed = false
@@ -143,15 +144,6 @@
 	}
 }
 
-func (m *Mirror) sleep(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-m.ctx.Done():
-	case <-t.C:
-	}
-}
-
 // step reads everything, or waits for changes after a revision. It returns the
 // revision to go on from.
 func (m *Mirror) step(after int64) (int64, error) {
@@ -167,7 +159,7 @@
 	}
 	m.apply(events)
 	if len(events) > 0 {
-		m.sleep(m.config.Gap - time.Since(began))
+		delay.For(m.ctx, m.config.Gap-time.Since(began))
 	}
 	return next, nil
 }
--- a/owner/record.go
+++ b/owner/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/job"
 	"almondcove/ledger"
 	"almondcove/schedule"
@@ -195,7 +196,7 @@
 		case <-o.commit:
 		}
 		o.commitOnce()
-		if !sleep(o.ctx, commitGap) {
+		if !delay.For(o.ctx, commitGap) {
 			return
 		}
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -253,16 +253,28 @@
 				s.Closed++
 			}
 		}
-		for _, g := range p.stages {
-			if g.open {
-				s.Waiting += g.waiting
-			}
-		}
+		s.Waiting = p.waiting()
 		out = append(out, s)
 	}
 	return out
 }
 
+// waiting returns the number of tasks that wait for a VM of the pool.
+func (p *pool) waiting() int {
+	n := 0
+	for _, g := range p.stages {
+		if g.open {
+			n += g.waiting
+		}
+	}
+	return n
+}
+
+// poolOf returns the pool on whose VMs a job runs.
+func (c *Core) poolOf(w *work) *pool {
+	return c.pool(c.view.Queues[w.Queue].Pool)
+}
+
 func (c *Core) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
@@ -293,7 +305,7 @@
 	c.learnJob(w)
 	c.jobs[j.ID] = w
 	if !w.Lasting() && j.Epoch == c.epoch {
-		c.pool(c.view.Queues[w.Queue].Pool).offered.add(w.cores*c.duration(w.Queue).Seconds(), now)
+		c.poolOf(w).offered.add(w.cores*c.duration(w.Queue).Seconds(), now)
 	}
 	if s.Phase().Final() {
 		return
@@ -346,7 +358,7 @@
 			g.waiting++
 		}
 	}
-	c.pool(c.view.Queues[w.Queue].Pool).stages[id] = g
+	c.poolOf(w).stages[id] = g
 	return g
 }
 
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -58,22 +58,30 @@
 // tellEvery is the time between two log lines on a pool's load.
 const tellEvery = time.Second
 
+// expect counts a VM that is on its way to the pool.
+func (l *load) expect(capacity job.Resources) {
+	l.have = l.have.Plus(capacity)
+	l.vms++
+	l.coming++
+}
+
+// lose counts a VM that the pool gives away.
+func (l *load) lose(v *vm) {
+	l.have = l.have.Minus(v.Capacity)
+	l.vms--
+}
+
 // tell logs what each pool asks for and has.
 func (c *Core) tell(loads []*load) {
 	for _, l := range loads {
-		services, waiting := 0, 0
+		services := 0
 		for _, v := range l.pool.vms {
 			if v.serves() {
 				services++
 			}
 		}
-		for _, g := range l.pool.stages {
-			if g.open {
-				waiting += g.waiting
-			}
-		}
 		c.config.Log.Info("pool", "pool", l.pool.name, "vms", l.vms, "coming", l.coming, "idle", len(l.idle),
-			"services", services, "least", l.least, "waiting", waiting,
+			"services", services, "least", l.least, "waiting", l.pool.waiting(),
 			"want", l.want.CPU/1000, "lately", l.lately.CPU/1000, "have", l.have.CPU/1000)
 	}
 }
@@ -102,9 +110,7 @@
 	}
 	for name, m := range c.moves {
 		if l := byName[m.to]; l != nil && c.vmOf(name, m) == nil {
-			l.have = l.have.Plus(m.capacity)
-			l.vms++
-			l.coming++
+			l.expect(m.capacity)
 		}
 	}
 	return out
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -179,11 +179,8 @@
 				continue
 			}
 			l.full = slices.Delete(l.full, i, i+1)
-			l.have = l.have.Minus(v.Capacity)
-			l.vms--
-			to.have = to.have.Plus(v.Capacity)
-			to.vms++
-			to.coming++
+			l.lose(v)
+			to.expect(v.Capacity)
 			c.moves[m.Name] = &move{to: to.pool.name, vm: v.ID, capacity: v.Capacity, since: now}
 			c.keep(v.ID, true)
 			c.config.Log.Info("machine to move", "machine", m.Name, "from", l.pool.name, "to", to.pool.name,
@@ -202,18 +199,17 @@
 		}
 		for i, v := range l.idle {
 			m, ok := c.machineOf(v.ID)
-			if !ok || !l.spares(v) || c.due(m.Name) {
+			if !ok || !l.spares(v) {
 				continue
 			}
 			l.idle = slices.Delete(l.idle, i, i+1)
-			l.have = l.have.Minus(v.Capacity)
-			l.vms--
+			l.lose(v)
 			return m, true
 		}
 	}
 	for _, name := range c.machineNames() {
 		m := c.machines[name]
-		if m.Pool == c.view.Spare && m.State == Up && !c.takenElsewhere(name) && !c.due(name) && !c.view.Out[m.Centre] {
+		if m.Pool == c.view.Spare && m.State == Up && !c.takenElsewhere(name) && !c.view.Out[m.Centre] {
 			return m, true
 		}
 	}
@@ -229,16 +225,6 @@
 	return out
 }
 
-// due reports whether a machine is about to be taken for maintenance.
-func (c *Core) due(name string) bool {
-	for _, w := range c.waves {
-		if w.taken[name] != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // machineOf returns the machine on which a VM runs, if it can be moved.
 func (c *Core) machineOf(id string) (Machine, bool) {
 	m, ok := c.machines[c.runsOn[id]]
@@ -246,9 +232,7 @@
 }
 
 func (c *Core) moveTo(m Machine, l *load, now time.Time) {
-	l.coming++
-	l.have = l.have.Plus(m.Capacity)
-	l.vms++
+	l.expect(m.Capacity)
 	c.orderMove(m, l.pool.name, now)
 }
 
@@ -273,8 +257,7 @@
 			if !ok || v.idleSince.IsZero() || now.Sub(v.idleSince) < parkAfter || !l.spares(v) {
 				continue
 			}
-			l.have = l.have.Minus(v.Capacity)
-			l.vms--
+			l.lose(v)
 			c.orderMove(m, c.view.Spare, now)
 		}
 	}
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -58,7 +58,7 @@
 // copyTask starts one more run of a task of which copies are allowed.
 func (c *Core) copyTask(t *task, now time.Time) {
 	g := t.stage
-	vms := c.usable(c.pool(c.view.Queues[g.work.Queue].Pool), now)
+	vms := c.usable(c.poolOf(g.work), now)
 	if !c.withinCap(g, 1) {
 		return
 	}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -291,7 +291,7 @@
 
 // placeable reports whether a task could start on another VM now.
 func (c *Core) placeable(t *task, now time.Time) bool {
-	return c.choose(t, c.usable(c.pool(c.view.Queues[t.stage.work.Queue].Pool), now)) != nil
+	return c.choose(t, c.usable(c.poolOf(t.stage.work), now)) != nil
 }
 
 // patience is how long a VM of a wave may take to finish its tasks.
