Ask for the list of machines when a move is due

The owner lists the machines every 5 s in calm times, and plans moves only by a list of at most 2.5 s of age, so each calm time left holes of 2.5 s without moves. The same pause could delay the first machine of a wave.

Ruled out: calls that fail or hang (no error is logged, the list takes 10 ms), the bound on orders (no order was refused).

Change: the core says when a move is due and the list is too old, and the owner then asks for the list at once.

--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,34 +50,39 @@
 
 // site is a whole system on a paused clock.
 type site struct {
-	t       *testing.T
-	kv      *standin.KeyValue
-	net     *standin.Network
-	fleet   *standin.Fleet
-	workers map[string]*standin.Worker
-	nodes   []*jobs.Node
-	specs   map[job.ID]*job.Job
+	t *testing.T
+	// mu guards workers.
+	mu    sync.Mutex
+	kv    *standin.KeyValue
+	net   *standin.Network
+	fleet *standin.Fleet
+	// machines are empty unless a test adds some.
+	machines *standin.Machines
+	workers  map[string]*standin.Worker
+	nodes    []*jobs.Node
+	specs    map[job.ID]*job.Job
 }
 
-const workTime = 700 * time.Millisecond
+const (
+	workTime = 700 * time.Millisecond
+	moveTime = time.Second
+)
 
 func newSite(t *testing.T, entries, vms int) *site {
 	s := &site{
 		t: t, kv: standin.NewKeyValue(), net: &standin.Network{}, fleet: standin.NewFleet(),
 		workers: make(map[string]*standin.Worker), specs: make(map[job.ID]*job.Job),
 	}
+	s.machines = standin.NewMachines(standin.MachinesConfig{
+		Spare: "off", Move: moveTime, Joins: s.joins, Leaves: s.leaves,
+	})
 	s.write("conf/view", schedule.View{
+		Spare:  "off",
 		Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p", Attempts: 2, Stretch: 1.6, Slack: time.Second}},
 		Teams:  map[string]schedule.Team{"team": {Name: "team", Weight: 1}},
 	})
 	for i := range vms {
-		v := schedule.VM{
-			ID: fmt.Sprintf("vm-%d", i), Pool: "p", Centre: "c", Born: time.Now(),
-			Capacity: job.Resources{CPU: 8000, Memory: 16000},
-			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 80),
-		}
-		s.workers[v.ID] = standin.NewWorker(v, s.fleet, time.Now())
-		s.write("vms/"+v.ID, v)
+		s.joins("", "p", fmt.Sprintf("vm-%d", i))
 	}
 	for i := range entries {
 		s.nodes = append(s.nodes, s.start(i, "a"))
@@ -83,6 +90,33 @@
 	return s
 }
 
+// vmRoom is the room of each VM.
+var vmRoom = job.Resources{CPU: 8000, Memory: 16000}
+
+// joins adds a VM to a pool.
+func (s *site) joins(_, pool, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := schedule.VM{
+		ID: id, Pool: pool, Centre: "c", Born: time.Now(), Capacity: vmRoom,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(len(s.workers) + 1)}), 80),
+	}
+	s.workers[id] = standin.NewWorker(v, s.fleet, time.Now())
+	s.write("vms/"+id, v)
+}
+
+// leaves ends a VM at once.
+func (s *site) leaves(id string) {
+	s.worker(id).Set(standin.Deaf)
+	s.kv.Delete("vms/" + id)
+}
+
+func (s *site) worker(id string) *standin.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[id]
+}
+
 func (s *site) write(key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
@@ -101,7 +135,7 @@
 		Store: s.kv, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
 		Changed:  func(map[string]store.Item, int64) {},
 		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second},
-		VMs:      &calls{site: s}, Machines: noMachines{},
+		VMs:      &calls{site: s}, Machines: s.machines,
 		Report:  func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network: s.net.From(host(i)),
 		Clock:   func() time.Duration { return time.Since(began) + time.Hour },
@@ -119,7 +153,7 @@
 }
 
 func (c *calls) Hold(ctx context.Context, v schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
-	w := c.site.workers[v.ID]
+	w := c.site.worker(v.ID)
 	t := time.NewTimer(h.Wait)
 	defer t.Stop()
 	select {
@@ -131,7 +165,7 @@
 }
 
 func (c *calls) Start(_ context.Context, v schedule.VM, a schedule.Start) schedule.Result {
-	w := c.site.workers[v.ID]
+	w := c.site.worker(v.ID)
 	w.Work(time.Now())
 	var j job.Job
 	if err := json.Unmarshal([]byte(a.Spec), &j); err != nil {
@@ -141,25 +175,13 @@
 }
 
 func (c *calls) Stop(_ context.Context, v schedule.VM, a schedule.Stop) schedule.Result {
-	return c.site.workers[v.ID].Stop(a)
+	return c.site.worker(v.ID).Stop(a)
 }
 
 func (c *calls) Pace(context.Context, schedule.VM, schedule.Pace) schedule.Result {
 	return schedule.Accepted
 }
 
-type noMachines struct{}
-
-func (noMachines) List(context.Context) ([]schedule.Machine, error) { return nil, nil }
-
-func (noMachines) Maintain(context.Context, int64, schedule.Maintain) schedule.MachineResult {
-	return schedule.MachineRefused
-}
-
-func (noMachines) Move(context.Context, int64, schedule.Move) schedule.MachineResult {
-	return schedule.MachineRefused
-}
-
 func (s *site) stop() {
 	for _, n := range s.nodes {
 		if n != nil {
@@ -168,7 +190,7 @@
 			cancel()
 		}
 	}
-	for _, b := range s.fleet.Breaches() {
+	for _, b := range slices.Concat(s.fleet.Breaches(), s.machines.Breaches()) {
 		s.t.Error(b)
 	}
 }
@@ -338,6 +360,39 @@
 	s.stop()
 }
 
+// TestTurnAfterCalm hands in more than a pool's one VM can do, after calm times
+// of different length. Machines that are switched off are ordered at once.
+func TestTurnAfterCalm(t *testing.T) {
+	const (
+		// react bounds the time from the jobs to the orders: the age of a list that
+		// is asked for again, and one look at the machines.
+		react = 250 * time.Millisecond
+		off   = 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newSite(t, 2, 0)
+		defer s.stop()
+		for i := range 1 + off {
+			pool := "p"
+			if i > 0 {
+				pool = "off"
+			}
+			s.machines.Add(schedule.Machine{Name: fmt.Sprint("m-", i), Pool: pool, Centre: "c", Capacity: vmRoom})
+		}
+		time.Sleep(6 * time.Second)
+		for i := range 8 {
+			time.Sleep(9*time.Second + time.Duration(i)*700*time.Millisecond)
+			g.Expect(s.machines.Pool("p")).To(gomega.Equal(1), "calm")
+			for k := range 12 {
+				g.Expect(s.submit(k%2, job.ID(fmt.Sprintf("%d-%d", i, k)))).To(gomega.Equal(owner.Done))
+			}
+			time.Sleep(react)
+			g.Expect(s.machines.Pool("off")).To(gomega.BeNumerically("<=", 1), "turn %d", i)
+		}
+	})
+}
+
 // log returns a log of an entry; it is written when ALMONDCOVE_LOG names a file.
 func (s *site) log(name string) hclog.Logger {
 	file := os.Getenv("ALMONDCOVE_LOG")
--- a/owner/machines.go
+++ b/owner/machines.go
@@ -13,20 +13,26 @@
 func (o *Owner) machineLoop() {
 	var told []schedule.WaveState
 	for o.ctx.Err() == nil {
-		pause := o.machinesOnce(&told)
-		if !delay.For(o.ctx, pause) {
+		o.machinesOnce(&told)
+		if !delay.For(o.ctx, machinesEvery) {
 			return
 		}
+		select {
+		case <-o.ctx.Done():
+		case <-o.look:
+		case <-time.After(machinesIdle):
+		}
 	}
 }
 
-func (o *Owner) machinesOnce(told *[]schedule.WaveState) time.Duration {
+// machinesOnce lists the machines once.
+func (o *Owner) machinesOnce(told *[]schedule.WaveState) {
 	o.mu.Lock()
 	core, active := o.core, o.active
 	o.mu.Unlock()
 	if !active || !o.config.Valid() {
 		*told = nil
-		return machinesEvery
+		return
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, machineTimeout)
 	defer cancel()
@@ -34,24 +40,20 @@
 	list, err := o.config.Machines.List(ctx)
 	if err != nil {
 		o.config.Log.Warn("machines not listed", "error", err)
-		return machinesEvery
+		wake(o.look)
+		return
 	}
 	var states []schedule.WaveState
-	var pressing bool
 	o.tell(core, func(time.Time) {
 		core.SetMachines(list, asked)
 		states = core.WaveStates()
-		pressing = core.Pressing()
 	})
 	if !slices.Equal(states, *told) && o.config.Valid() {
 		if err := o.config.Report(ctx, states); err != nil {
 			o.config.Log.Warn("waves not reported", "error", err)
-			return machinesEvery
+			wake(o.look)
+			return
 		}
 		*told = states
 	}
-	if pressing {
-		return machinesEvery
-	}
-	return machinesIdle
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -43,10 +43,10 @@
 	loadRetry = 150 * time.Millisecond
 	// loadTimeout bounds one try to read the records.
 	loadTimeout = 4 * time.Second
-	// machinesEvery and machinesIdle are how often the machines are listed while
-	// some are to be taken, and otherwise.
+	// machinesEvery is the pause between lists of the machines while some are to be
+	// taken; machinesIdle is added to it otherwise.
 	machinesEvery = 500 * time.Millisecond
-	machinesIdle  = 5 * time.Second
+	machinesIdle  = 4500 * time.Millisecond
 	// machineTimeout bounds an order for a machine.
 	machineTimeout = 1200 * time.Millisecond
 	// stuckAfter is when a commit without an answer means that the store is lost.
@@ -87,6 +87,8 @@
 	done   sync.WaitGroup
 	// plan and commit wake their goroutines.
 	plan, commit chan struct{}
+	// look wakes the listing of machines.
+	look chan struct{}
 
 	mu sync.Mutex
 	// core is nil until the first election.
@@ -129,7 +131,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &Owner{
 		config: c, ctx: ctx, cancel: cancel,
-		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1),
+		plan: make(chan struct{}, 1), commit: make(chan struct{}, 1), look: make(chan struct{}, 1),
 		pending: make(map[job.ID]*acceptance), loops: make(map[string]*session),
 	}
 	o.done.Go(o.planLoop)
@@ -214,6 +216,9 @@
 	for _, a := range o.core.Plan(time.Now()) {
 		o.carryOut(a)
 	}
+	if o.core.Pressing() {
+		wake(o.look)
+	}
 }
 
 // Stats returns what the owner has counted, and its pools; both are empty while
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -80,6 +80,8 @@
 	arranged time.Time
 	// listed is when the list of machines was asked for.
 	listed time.Time
+	// outdated is set while a move is due and the list is too old to choose by.
+	outdated bool
 	waves  map[int64]*wave
 	moves  map[string]*move
 	stats  Stats
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -44,7 +44,8 @@
 // of other pools, then those that are switched off; and switches off what stays idle.
 func (c *Core) planMoves(now time.Time) {
 	c.trackMoves(now)
-	if len(c.machines) == 0 || now.Sub(c.listed) > machinesFresh {
+	if len(c.machines) == 0 {
+		c.outdated = c.listed.IsZero()
 		return
 	}
 	loads := c.loads(now)
@@ -52,6 +53,10 @@
 		c.told = now
 		c.tell(loads)
 	}
+	c.outdated = now.Sub(c.listed) > machinesFresh && c.wantsMoves(loads, now)
+	if now.Sub(c.listed) > machinesFresh {
+		return
+	}
 	c.feed(loads, now)
 	c.park(loads, now)
 }
@@ -59,6 +64,18 @@
 // machinesFresh bounds the age of the list of machines by which moves are planned.
 const machinesFresh = 2500 * time.Millisecond
 
+// wantsMoves reports whether a pool lacks room, or could do without a VM.
+func (c *Core) wantsMoves(loads []*load, now time.Time) bool {
+	return slices.ContainsFunc(loads, func(l *load) bool {
+		return l.short() || slices.ContainsFunc(l.idle, func(v *vm) bool { return l.parks(v, now) })
+	})
+}
+
+// parks reports whether the machine of an idle VM is to be switched off.
+func (l *load) parks(v *vm, now time.Time) bool {
+	return l.missing() <= 0 && !v.idleSince.IsZero() && now.Sub(v.idleSince) >= parkAfter && l.spares(v)
+}
+
 // trackMoves follows the machines that are on their way.
 func (c *Core) trackMoves(now time.Time) {
 	for name, m := range c.moves {
@@ -249,12 +266,9 @@
 		return
 	}
 	for _, l := range loads {
-		if l.missing() > 0 {
-			continue
-		}
 		for _, v := range l.idle {
 			m, ok := c.machineOf(v.ID)
-			if !ok || v.idleSince.IsZero() || now.Sub(v.idleSince) < parkAfter || !l.spares(v) {
+			if !ok || !l.parks(v, now) {
 				continue
 			}
 			l.lose(v)
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -78,8 +78,11 @@
 	}
 }
 
-// Pressing reports whether the machines have to be looked at often.
+// Pressing reports whether the machines have to be looked at often, or now.
 func (c *Core) Pressing() bool {
+	if c.outdated {
+		return true
+	}
 	for _, w := range c.waves {
 		if !c.complete(w) {
 			return true
--- a/standin/keyvalue.go
+++ b/standin/keyvalue.go
@@ -105,6 +105,13 @@
 	k.apply(store.Txn{Puts: []store.Put{{Key: key, Value: value}}})
 }
 
+// Delete removes a key without a condition.
+func (k *KeyValue) Delete(key string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.apply(store.Txn{Removes: []string{key}})
+}
+
 func (k *KeyValue) wake() {
 	close(k.changed)
 	k.changed = make(chan struct{})
