Drop reports of VMs that newer ones have overtaken

Two holds of a VM may be on their way at once, the long one and one that can't wait. When the answer to the older one is taken last, it still lists a run whose end was taken already; the core took it for a run of an owner before and adopted it. The task then counted as running for ever, and the run kept its room.

Ruled out: the team's cap, the VM's health and rank (they delay, but the tasks would count as waiting); stages under another pool.

Change: reports are ordered by the VM's fence and clock, and an older one gives its ends only. TestStaleReport fails on the code before.

--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -46,6 +46,8 @@
 	// clock was the VM's clock at clockAt, at the least.
 	clock   time.Duration
 	clockAt time.Time
+	// reported tells which report was the newest.
+	reported reported
 	// lapse is when everything that the VM was given has ended.
 	lapse time.Time
 	runs  map[Run]*run
@@ -159,6 +161,7 @@
 	}
 	v.born = born
 	v.read, v.seen = 0, 0
+	v.reported = reported{}
 	v.clockAt = time.Time{}
 	v.raise = true
 	v.attached = false
@@ -295,6 +298,11 @@
 	for _, e := range r.Ended {
 		c.end(v, e, now)
 	}
+	if v.attached && !v.reported.before(h, r) {
+		// What it lists may have ended since, and its end may be forgotten already.
+		return
+	}
+	v.reported = reported{h.Fence, r.Clock}
 	c.progress(v, r, now)
 	c.hasten(v, now)
 	c.paceVM(v, now)
@@ -303,6 +311,18 @@
 	}
 }
 
+// reported orders the reports of one life of a VM: answers on different
+// connections may overtake each other, but its fence and its clock only rise.
+type reported struct {
+	fence int64
+	clock time.Duration
+}
+
+// before reports whether the answer to a hold is newer.
+func (o reported) before(h Hold, r Report) bool {
+	return o.fence < h.Fence || o.fence == h.Fence && o.clock < r.Clock
+}
+
 // progress takes in what the running tasks say of themselves.
 func (c *Core) progress(v *vm, report Report, now time.Time) {
 	for _, p := range report.Running {
--- /dev/null
+++ b/schedule/vm_test.go
@@ -0,0 +1,35 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"almondcove/job"
+	"almondcove/schedule"
+)
+
+// TestStaleReport: a VM's answer that was overtaken by a newer one says nothing
+// about what runs now, so a task whose run has failed starts again.
+func TestStaleReport(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 1)
+	w.run(time.Second)
+	w.submit(batch("1", 1))
+	w.step(50 * time.Millisecond)
+	w.step(100 * time.Millisecond)
+	vm := w.vms["vm-0"]
+	g.Expect(vm.Running()).To(gomega.HaveLen(1))
+	early, _ := w.core.Hold("vm-0", w.now)
+	overtaken, result := vm.Hold(early, w.now)
+	g.Expect(result).To(gomega.Equal(schedule.Accepted))
+	vm.Fail(true)
+	w.run(time.Second)
+	vm.Fail(false)
+	w.hold("vm-0")
+	w.core.Held(early, overtaken, w.now)
+	w.run(3 * time.Second)
+	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
+	g.Expect(w.starts).To(gomega.HaveLen(2))
+}
