Notice a rise of the incoming work within 0.4 s

The rate of work was averaged over 1 s.

Ruled out: the platform's bound on orders (2,907 done, none refused).

Change: a second average over 0.4 s counts as far as its number of jobs tells anything (less 1 over the root of the number).

--- a/schedule/load.go
+++ b/schedule/load.go
@@ -144,9 +144,9 @@
 	slices.SortFunc(l.full, func(a, b *vm) int {
 		return cmp.Or(cmp.Compare(a.used.CPU, b.used.CPU), cmp.Compare(a.ID, b.ID))
 	})
-	// Work that comes in at a steady rate occupies as many processors as it brings
-	// seconds of work a second; its tasks show that only once they have piled up.
-	if coming := int64(1000 * steadyShare * p.offered.rate(now)); coming > l.want.CPU {
+	// Work that comes in occupies as many processors as it brings seconds of work a
+	// second; its tasks show that only once they have piled up.
+	if coming := int64(1000 * p.offered.coming(now)); coming > l.want.CPU {
 		l.want.CPU = coming
 	}
 	l.lately = p.peak.follow(l.want, now)
@@ -206,25 +206,54 @@
 	return (left + g.step.Spread - 1) / g.step.Spread
 }
 
-// steadyShare is the part of the work that comes in for which room is made ahead.
-const steadyShare = 0.9
-
-// offeredOver is the time over which the rate of incoming work is averaged.
-const offeredOver = time.Second
+const (
+	// steadyShare is the part of the work that comes in for which room is made ahead.
+	steadyShare = 0.9
+	// steadyOver is the time over which the steady rate of work is averaged.
+	steadyOver = time.Second
+	// risingOver is the time over which a rise is noticed. A machine takes over a
+	// second to come, so what is not ordered at once is missed.
+	risingOver = 400 * time.Millisecond
+)
 
-// offered averages the work that comes in, in core-seconds a second.
+// offered follows the work that comes in.
 type offered struct {
-	sum float64
-	at  time.Time
+	steady, rising rate
 }
 
 func (o *offered) add(work float64, now time.Time) {
-	o.sum = o.rate(now) + work/offeredOver.Seconds()
-	o.at = now
+	o.steady.add(work, steadyOver, now)
+	o.rising.add(work, risingOver, now)
+}
+
+// coming returns the processors that are needed if work goes on to come in as it
+// does. The last moments count as far as they tell: that few jobs came says little.
+func (o *offered) coming(now time.Time) float64 {
+	steady, _ := o.steady.at(steadyOver, now)
+	rising, jobs := o.rising.at(risingOver, now)
+	if jobs <= 1 {
+		return steadyShare * steady
+	}
+	return max(steadyShare*steady, rising*(1-1/math.Sqrt(jobs)))
+}
+
+// rate averages the work of jobs that come in, in core-seconds a second, and
+// counts the jobs of the time over which it averages.
+type rate struct {
+	work, jobs float64
+	last       time.Time
+}
+
+func (r *rate) add(work float64, over time.Duration, now time.Time) {
+	r.work, r.jobs = r.at(over, now)
+	r.work += work / over.Seconds()
+	r.jobs++
+	r.last = now
 }
 
-func (o *offered) rate(now time.Time) float64 {
-	return o.sum * math.Exp(-now.Sub(o.at).Seconds()/offeredOver.Seconds())
+func (r *rate) at(over time.Duration, now time.Time) (work, jobs float64) {
+	keep := math.Exp(-now.Sub(r.last).Seconds() / over.Seconds())
+	return r.work * keep, r.jobs * keep
 }
 
 // peak follows a want upwards at once and downwards slowly.
