Notice silent watches of the store within two seconds

Ruled out: orders for machines (all done), the machines' list (read every 0.5 s), sessions (a VM is held as soon as it is listed).

Change: the list's watch waits 0.6 s, the operators' records' 1.5 s, registrations' 1 s. TestStalledWatches fails on the code before.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -48,6 +48,9 @@
 	aloneFor = 2 * time.Second
 	// handOverFor bounds the writing of the record for the next owner.
 	handOverFor = 700 * time.Millisecond
+	// listWait is how long a read of the list of VMs waits for a change: watches may
+	// go silent, and what is missing for two seconds after an outage counts as gone.
+	listWait = 600 * time.Millisecond
 	// listGap is the least time between two reads of the list of VMs.
 	listGap = 150 * time.Millisecond
 	// serverPing is how often a silent link from another entry is probed.
@@ -181,7 +184,7 @@
 		Store: n.relay, Prefix: c.Operators, Changed: n.changed, Log: c.Log,
 	})
 	n.list = mirror.New(mirror.Config{
-		Store: n.relay, Prefix: c.List, Gap: listGap, Active: n.valid, Log: c.Log,
+		Store: n.relay, Prefix: c.List, Wait: listWait, Gap: listGap, Active: n.valid, Log: c.Log,
 		Changed: func(copied mirror.Copy) { n.owner.SetVMs(c.Decoder.VMs(copied.Items)) },
 	})
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -393,6 +393,28 @@
 	})
 }
 
+// TestStalledWatches: VMs that join after the store's watches have gone silent
+// take tasks within two seconds, the time in which the list is right again.
+func TestStalledWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newSite(t, 2, 1)
+		defer s.stop()
+		time.Sleep(3 * time.Second)
+		for i := range 3 {
+			s.kv.Stall()
+			id := fmt.Sprint("new-", i)
+			s.joins("", "p", id)
+			time.Sleep(2 * time.Second)
+			for k := range 3 + 2*i {
+				g.Expect(s.submit(0, job.ID(fmt.Sprintf("%d-%d", i, k)))).To(gomega.Equal(owner.Done))
+			}
+			g.Expect(s.worker(id).Running()).NotTo(gomega.BeEmpty(), id)
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
+
 // log returns a log of an entry; it is written when ALMONDCOVE_LOG names a file.
 func (s *site) log(name string) hclog.Logger {
 	file := os.Getenv("ALMONDCOVE_LOG")
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -27,7 +27,7 @@
 const (
 	// DefaultWait is how long a watch waits: a shorter wait finds a silent
 	// connection sooner, a longer one costs fewer calls.
-	DefaultWait = 3 * time.Second
+	DefaultWait = 1500 * time.Millisecond
 	// callTimeout bounds a call beyond its wait.
 	callTimeout = 1200 * time.Millisecond
 	// retryPause is the pause after a call that failed.
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -41,7 +41,7 @@
 	callTimeout = 1200 * time.Millisecond
 	// watchWait is how long one watch may wait; a shorter one finds a silent
 	// connection sooner, a longer one costs fewer calls.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// retryPause spreads the tries after a failed call.
 	retryPause = 250 * time.Millisecond
 	// PledgeFor is how long an entry that has pledged so stands for no election.
--- a/standin/keyvalue.go
+++ b/standin/keyvalue.go
@@ -22,8 +22,10 @@
 	last    store.LeaseID
 	first   int64
 	changed chan struct{}
-	fault   KeyValueFault
-	calls   int
+	// stalls counts how often the watches that waited were stalled.
+	stalls int
+	fault  KeyValueFault
+	calls  int
 }
 
 type grant struct {
@@ -91,6 +93,14 @@
 	k.wake()
 }
 
+// Stall makes the watches that wait now hear nothing for good.
+func (k *KeyValue) Stall() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.stalls++
+	k.wake()
+}
+
 // Calls returns the number of calls.
 func (k *KeyValue) Calls() int {
 	k.mu.Lock()
@@ -332,12 +342,19 @@
 	}
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
+	k.mu.Lock()
+	stalls := k.stalls
+	k.mu.Unlock()
 	for {
 		k.mu.Lock()
 		events, gone := k.since(prefix, after)
 		rev, changed, fault := k.rev, k.changed, k.fault
+		stalled := k.stalls != stalls
 		k.mu.Unlock()
 		switch {
+		case stalled:
+			<-ctx.Done()
+			return nil, after, &store.Uncertain{Call: "watch", Cause: ctx.Err()}
 		case fault != Sound && fault != Lose:
 			return nil, after, &store.Uncertain{Call: "watch", Cause: &Injected{}}
 		case gone:
