Let VMs forget ends as soon as their jobs are recorded

Cause: VMs were allowed to forget ends only when nothing at all was left to be recorded. While more jobs change than a commit takes, every report lists all ends again, which costs the owner the processor that commits lack.

Change: each VM remembers the ends that it may not forget yet with their jobs, and forgets up to the first whose job is still to be recorded.

--- a/schedule/record.go
+++ b/schedule/record.go
@@ -61,13 +61,30 @@
 		fleet := c.Fleet(now)
 		out.Fleet = &fleet
 	}
-	if len(c.dirty) == 0 {
-		out.seen = make(map[*vm]seen, len(c.vms))
-		for _, v := range c.vms {
-			out.seen[v] = seen{v.born, v.read}
+	out.seen = c.settled()
+	return out, nil
+}
+
+// mark is an end that a VM may not forget yet, and the job that it belongs to.
+type mark struct {
+	number int64
+	job    job.ID
+}
+
+// settled returns, for each VM, the last end up to which nothing has to be
+// recorded any more once the states that were taken are written.
+func (c *Core) settled() map[*vm]seen {
+	out := make(map[*vm]seen)
+	for _, v := range c.vms {
+		n := 0
+		for n < len(v.ends) && c.dirty[v.ends[n].job] == nil {
+			n++
+		}
+		if n > 0 {
+			out[v] = seen{v.born, v.ends[n-1].number}
 		}
 	}
-	return out, nil
+	return out
 }
 
 // Expired returns at most most jobs that have been kept long enough.
@@ -97,6 +114,7 @@
 	for v, s := range r.seen {
 		if v.born.Equal(s.born) {
 			v.seen = max(v.seen, s.number)
+			v.ends = slices.DeleteFunc(v.ends, func(m mark) bool { return m.number <= v.seen })
 		}
 	}
 	for _, id := range r.Removed {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -139,9 +139,10 @@
 	c.stats.Ends++
 	if r := v.runs[e.Run]; r != nil {
 		c.ended(r, e.How, e.Checkpoint, now)
-		return
+	} else {
+		c.lateEnd(v, e, now)
 	}
-	c.lateEnd(v, e, now)
+	v.ends = append(v.ends, mark{e.Number, e.Run.Task.Job})
 }
 
 // lateEnd takes the end of a run that the core doesn't know, such as one that
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -54,6 +54,8 @@
 	used  job.Resources
 	// read is the number of the last end that was taken in, seen of the last recorded.
 	read, seen int64
+	// ends lists the ends between the two.
+	ends []mark
 	health     health
 	// recorded is set once the fleet's record names the VM.
 	recorded bool
@@ -160,7 +162,7 @@
 		v.past[v.born] = true
 	}
 	v.born = born
-	v.read, v.seen = 0, 0
+	v.read, v.seen, v.ends = 0, 0, nil
 	v.reported = reported{}
 	v.clockAt = time.Time{}
 	v.raise = true
