Recover the records over a slow link, or let another entry

Ruled out: the election (one winner, valid lease), memory, the store (it answered).

Also found on the way: the advisor of the settings never reached the owner, so an advised queue would have ended the process; it is passed on.

--- a/job/state.go
+++ b/job/state.go
@@ -161,7 +161,13 @@
 	return Pending
 }
 
-// stored is the recorded form of a State.
+// Forget drops all but the phase, which has to be final, and when the job ended.
+func (s *State) Forget(j *Job) {
+	*s = State{job: j, started: true, end: s.Phase(), ended: s.ended}
+}
+
+// stored is the recorded form of a State. Of a job that has ended it says nothing
+// but how and when.
 type stored struct {
 	End     Phase     `json:"end,omitempty"`
 	Started bool      `json:"started,omitempty"`
@@ -185,7 +191,10 @@
 
 // MarshalJSON returns the recorded form.
 func (s *State) MarshalJSON() ([]byte, error) {
-	out := stored{End: s.end, Started: s.started, Ended: s.ended}
+	if s.Phase().Final() {
+		return json.Marshal(stored{End: s.Phase(), Started: s.started, Ended: s.ended})
+	}
+	out := stored{Started: s.started}
 	for g, done := range s.done {
 		out.Done = append(out.Done, stage{g.Occurrence, g.Step, done.words})
 	}
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -145,7 +145,8 @@
 	n.owner = owner.New(owner.Config{
 		Ledger: book, Schedule: c.Schedule,
 		Valid: n.valid,
-		VMs:   c.VMs, Machines: c.Machines,
+		VMs:   c.VMs, Machines: c.Machines, Advisor: c.Advisor,
+		GiveUp:    n.giveUp,
 		Report:    func(ctx context.Context, s []schedule.WaveState) error { return c.Report(ctx, n.relay, s) },
 		Committed: n.metrics.committed, Ordered: n.metrics.ordered,
 		Log: c.Log,
@@ -224,6 +225,17 @@
 	n.done.Wait()
 }
 
+// giveUp lets another entry own the jobs.
+func (n *Node) giveUp(reason string) {
+	n.done.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, handOverFor)
+		defer cancel()
+		if err := n.shard.StepDown(ctx, reason); err != nil {
+			n.config.Log.Warn("ownership not given up", "reason", reason, "error", err)
+		}
+	})
+}
+
 // Leave gives up ownership; the entry goes on passing requests to the next owner.
 func (n *Node) Leave(ctx context.Context) error {
 	n.mu.Lock()
@@ -378,9 +390,5 @@
 	if !known || own.Run != n.config.Self.Run || young || len(members) < 2 || 2*met >= len(members) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, meetTimeout)
-	defer cancel()
-	if err := n.shard.StepDown(ctx, "not reached by most entries"); err != nil {
-		n.config.Log.Warn("ownership not given up", "error", err)
-	}
+	n.giveUp("not reached by most entries")
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -60,6 +60,7 @@
 	machines *standin.Machines
 	workers  map[string]*standin.Worker
 	nodes    []*jobs.Node
+	restarts int
 	specs    map[job.ID]*job.Job
 }
 
@@ -77,9 +78,12 @@
 		Spare: "off", Move: moveTime, Joins: s.joins, Leaves: s.leaves,
 	})
 	s.write("conf/view", schedule.View{
-		Spare:  "off",
-		Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p", Attempts: 2, Stretch: 1.6, Slack: time.Second}},
-		Teams:  map[string]schedule.Team{"team": {Name: "team", Weight: 1}},
+		Spare: "off",
+		Queues: map[string]schedule.Queue{
+			"q":       {Name: "q", Pool: "p", Attempts: 2, Stretch: 1.6, Slack: time.Second},
+			"advised": {Name: "advised", Pool: "p", Attempts: 2, Stretch: 1.6, Slack: time.Second, Advised: true},
+		},
+		Teams: map[string]schedule.Team{"team": {Name: "team", Weight: 1}},
 	})
 	for i := range vms {
 		s.joins("", "p", fmt.Sprintf("vm-%d", i))
@@ -135,7 +139,7 @@
 		Store: s.kv, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
 		Changed:  func(map[string]store.Item, int64) {},
 		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second},
-		VMs:      &calls{site: s}, Machines: s.machines,
+		VMs:      &calls{site: s}, Machines: s.machines, Advisor: s,
 		Report:  func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network: s.net.From(host(i)),
 		Clock:   func() time.Duration { return time.Since(began) + time.Hour },
@@ -147,6 +151,15 @@
 	return n
 }
 
+// Advise lets all VMs run anything.
+func (s *site) Advise(_ context.Context, a schedule.Advise) (map[string]string, time.Duration, error) {
+	out := make(map[string]string)
+	for _, id := range a.VMs {
+		out[id] = "ticket"
+	}
+	return out, 3 * time.Second, nil
+}
+
 // calls passes orders to the workers.
 type calls struct {
 	site *site
@@ -182,6 +195,15 @@
 	return schedule.Accepted
 }
 
+// restart stops an entry and starts it anew.
+func (s *site) restart(i int) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.nodes[i].Stop(ctx)
+	s.restarts++
+	s.nodes[i] = s.start(i, fmt.Sprint("r", s.restarts))
+}
+
 func (s *site) stop() {
 	for _, n := range s.nodes {
 		if n != nil {
@@ -293,11 +315,7 @@
 			s.write("vms/"+w.VM.ID, w.VM)
 		}, func(*site) {}},
 		{"entry restarts", func(s *site, r *rand.Rand) {
-			i := r.IntN(len(s.nodes))
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-			s.nodes[i].Stop(ctx)
-			cancel()
-			s.nodes[i] = s.start(i, fmt.Sprint("r", r.IntN(1e9)))
+			s.restart(r.IntN(len(s.nodes)))
 		}, func(*site) {}},
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,8 +1,8 @@
 // Package ledger keeps jobs and their states in the store, so that the next
 // owner finds all that was promised.
 //
-// Each job has two keys, one for what was handed in and one for its state. The
-// records are guarded by one key, the tail: every commit requires the tail as
+// Each job has two keys, one for what was handed in and one for its state; the
+// first is removed once the job has ended. The records are guarded by one key, the tail: every commit requires the tail as
 // the commit before it left it and writes it anew. A commit that the store
 // carries out late therefore fails, and an owner that was replaced can't write.
 // One commit is on its way at a time; all that gathers meanwhile goes into the
@@ -118,11 +118,24 @@
 type Record struct {
 	Job  job.ID
 	Data []byte
+	// Final is set when the job has ended: what was handed in is no longer kept.
+	Final bool
+}
+
+// Keys returns the number of keys that the record writes or removes.
+func (r Record) Keys() int {
+	if r.Final {
+		return 2
+	}
+	return 1
 }
 
 // Size returns the number of keys that the batch writes.
 func (b *Batch) Size() int {
-	n := len(b.Jobs) + len(b.States) + 2*len(b.Removed)
+	n := len(b.Jobs) + 2*len(b.Removed)
+	for _, r := range b.States {
+		n += r.Keys()
+	}
 	if b.Fleet != nil {
 		n++
 	}
@@ -254,6 +267,11 @@
 		Guards: []store.Guard{{Key: tail, Rev: held.Rev}},
 		Puts:   append([]store.Put{{Key: tail, Value: value}}, puts...),
 	}
+	for _, r := range b.States {
+		if r.Final {
+			t.Removes = append(t.Removes, l.jobKey(r.Job))
+		}
+	}
 	for _, id := range b.Removed {
 		t.Removes = append(t.Removes, l.jobKey(id), l.stateKey(id))
 	}
@@ -278,7 +296,8 @@
 	return out, nil
 }
 
-// Kept is one job as it was recorded.
+// Kept is one job as it was recorded. Of one that has ended, Job may hold its id
+// alone.
 type Kept struct {
 	Job   *job.Job
 	State *job.State
@@ -312,25 +331,42 @@
 		recorded[strings.TrimPrefix(it.Key, l.config.Prefix+"state/")] = it.Value
 	}
 	for _, it := range jobs {
-		kept, err := decode(it.Value, recorded)
+		j := new(job.Job)
+		if err := json.Unmarshal(it.Value, j); err != nil {
+			return Content{}, &store.Invalid{Call: "load", Cause: err}
+		}
+		kept, err := load(j, recorded[string(j.ID)])
+		if err != nil {
+			return Content{}, err
+		}
+		out.Jobs = append(out.Jobs, kept)
+		delete(recorded, string(j.ID))
+	}
+	for id, value := range recorded {
+		kept, err := load(&job.Job{ID: job.ID(id)}, value)
 		if err != nil {
 			return Content{}, err
 		}
+		if !kept.State.Phase().Final() {
+			return Content{}, &store.Invalid{Call: "load", Cause: &Orphan{kept.Job.ID}}
+		}
 		out.Jobs = append(out.Jobs, kept)
 	}
 	return out, nil
 }
 
-func decode(data []byte, recorded map[string][]byte) (Kept, error) {
-	j := new(job.Job)
-	if err := json.Unmarshal(data, j); err != nil {
-		return Kept{}, &store.Invalid{Call: "load", Cause: err}
-	}
+// Orphan reports the state of a job that has not ended, without the job.
+type Orphan struct {
+	Job job.ID
+}
+
+func (e *Orphan) Error() string { return "ledger: job " + string(e.Job) + " is missing" }
+
+// load returns a job with its recorded state, if there is one.
+func load(j *job.Job, data []byte) (Kept, error) {
 	s := job.NewState(j)
-	if value, ok := recorded[string(j.ID)]; ok {
-		if err := s.Load(value); err != nil {
-			return Kept{}, err
-		}
+	if data == nil {
+		return Kept{j, s}, nil
 	}
-	return Kept{j, s}, nil
+	return Kept{j, s}, s.Load(data)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -46,6 +46,9 @@
 	loadRetry = 150 * time.Millisecond
 	// loadTimeout bounds one try to read the records.
 	loadTimeout = 4 * time.Second
+	// loadFor is how long an owner tries before it lets another entry try: an entry
+	// with a slow link may never read them.
+	loadFor = 5 * time.Second
 	// machinesEvery is the pause between lists of the machines while some are to be
 	// taken; machinesIdle is added to it otherwise.
 	machinesEvery = 500 * time.Millisecond
@@ -76,6 +79,9 @@
 	Advisor  Advisor
 	// Report writes how far maintenance waves are.
 	Report func(ctx context.Context, states []schedule.WaveState) error
+	// GiveUp is called when the owner can't read the records, so that another entry
+	// may try.
+	GiveUp func(reason string)
 	// Committed is told of each commit, and Ordered of each order and its result.
 	Committed func(took time.Duration, err error)
 	Ordered   func(order, result string)
--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,49 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"almondcove/ledger"
+	"almondcove/owner"
+	"almondcove/schedule"
+	"almondcove/shard"
+	"almondcove/standin"
+	"almondcove/store"
+)
+
+// mute is a store that never answers.
+type mute struct {
+	store.Store
+}
+
+func (mute) Range(ctx context.Context, _ string) ([]store.Item, int64, error) {
+	<-ctx.Done()
+	return nil, 0, &store.Uncertain{Call: "range", Cause: ctx.Err()}
+}
+
+// TestRecordsOutOfReach: an owner that can't read the records gives up within
+// the time of two tries, so that another entry may own the jobs.
+func TestRecordsOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		given := make(chan string, 1)
+		o := owner.New(owner.Config{
+			Ledger:   ledger.New(ledger.Config{Store: mute{}, Run: "a"}),
+			Valid:    func() bool { return true },
+			Machines: standin.NewMachines(standin.MachinesConfig{}),
+			Report:   func(context.Context, []schedule.WaveState) error { return nil },
+			GiveUp:   func(reason string) { given <- reason },
+			Log:      hclog.NewNullLogger(),
+		})
+		defer o.Close()
+		o.Elected(shard.Term{Epoch: 1})
+		time.Sleep(9 * time.Second)
+		g.Expect(given).To(gomega.Receive(gomega.Equal("records not read")))
+	})
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -252,7 +252,7 @@
 		return l, err
 	}
 	for _, r := range l.recorded.States {
-		l.batch.States = append(l.batch.States, ledger.Record{Job: r.Job, Data: r.Data})
+		l.batch.States = append(l.batch.States, ledger.Record{Job: r.Job, Data: r.Data, Final: r.Final()})
 	}
 	if l.recorded.Fleet != nil {
 		l.batch.Fleet, err = json.Marshal(l.recorded.Fleet)
--- a/owner/term.go
+++ b/owner/term.go
@@ -92,6 +92,10 @@
 			return
 		}
 		o.config.Log.Warn("records not read", "epoch", t.Epoch, "error", err)
+		if time.Since(began) > loadFor {
+			o.config.GiveUp("records not read")
+			return
+		}
 		delay.For(o.ctx, loadRetry)
 	}
 }
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -108,15 +108,26 @@
 // directTimeout bounds a call on the own way, so that time is left for another.
 const directTimeout = 600 * time.Millisecond
 
+// rangeTimeout is the same for a list, which may be megabytes over a slow link.
+const rangeTimeout = 2 * time.Second
+
 func (r *Relay) direct(ctx context.Context, name string, q relayed) (relayed, error) {
 	if name == callWatch {
 		return invoke(ctx, r.config.Direct, name, q)
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout)
+	ctx, cancel := context.WithTimeout(ctx, boundOf(name))
 	defer cancel()
 	return invoke(ctx, r.config.Direct, name, q)
 }
 
+// boundOf returns how long one way of a call may take, its wait apart.
+func boundOf(name string) time.Duration {
+	if name == callRange {
+		return rangeTimeout
+	}
+	return directTimeout
+}
+
 // remote is a failure that another entry has told of.
 type remote struct {
 	text string
@@ -152,7 +163,7 @@
 		return relayed{}, &store.Unavailable{Call: name, Cause: &Unanswered{Cause: context.Canceled}}
 	}
 	to := peers[rand.IntN(len(peers))]
-	ctx, cancel := context.WithTimeout(ctx, directTimeout+q.Wait)
+	ctx, cancel := context.WithTimeout(ctx, boundOf(name)+q.Wait)
 	defer cancel()
 	body, err := json.Marshal(q)
 	if err != nil {
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -305,7 +305,13 @@
 	if c.jobs[j.ID] != nil {
 		return
 	}
-	w := &work{Job: j, state: s, shown: s.Phase(), stages: make(map[job.Stage]*stage)}
+	w := &work{Job: j, state: s, shown: s.Phase()}
+	if s.Phase().Final() {
+		w.forget()
+		c.jobs[j.ID] = w
+		return
+	}
+	w.stages = make(map[job.Stage]*stage)
 	w.depth = depths(j)
 	w.longest = slices.Max(w.depth)
 	w.cores = coresOf(j)
@@ -314,9 +320,6 @@
 	if !w.Lasting() && j.Epoch == c.epoch {
 		c.poolOf(w).offered.add(w.cores*c.duration(w.Queue).Seconds(), now)
 	}
-	if s.Phase().Final() {
-		return
-	}
 	c.open(w, now)
 }
 
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -37,9 +37,12 @@
 	number int64
 }
 
-// Take returns at most most states that have to be recorded. Urgent ones, which
-// end a job, come first.
-func (c *Core) Take(most int, now time.Time) (Recorded, error) {
+// Final reports whether the job has ended.
+func (r StateRecord) Final() bool { return r.phase.Final() }
+
+// Take returns states that have to be recorded and take up at most that many keys,
+// those of jobs that have ended two each. They come first.
+func (c *Core) Take(keys int, now time.Time) (Recorded, error) {
 	var out Recorded
 	list := make([]*work, 0, len(c.dirty))
 	for _, w := range c.dirty {
@@ -48,7 +51,13 @@
 	slices.SortFunc(list, func(a, b *work) int {
 		return cmp.Or(cmp.Compare(b.state.Phase(), a.state.Phase()), cmp.Compare(a.ID, b.ID))
 	})
-	for _, w := range list[:min(most, len(list))] {
+	for _, w := range list {
+		if w.state.Phase().Final() {
+			keys--
+		}
+		if keys--; keys < 0 {
+			break
+		}
 		data, err := json.Marshal(w.state)
 		if err != nil {
 			return out, err
@@ -110,6 +119,9 @@
 		}
 		w.recorded = s.version
 		w.shown = s.phase
+		if s.phase.Final() {
+			w.forget()
+		}
 	}
 	for v, s := range r.seen {
 		if v.born.Equal(s.born) {
@@ -130,6 +142,13 @@
 	}
 }
 
+// forget drops what a job that has ended needs no more.
+func (w *work) forget() {
+	w.Job = &job.Job{ID: w.ID, Queue: w.Queue, Team: w.Team, Epoch: w.Epoch, Accepted: w.Accepted}
+	w.state.Forget(w.Job)
+	w.stages, w.depth = nil, nil
+}
+
 // Unwritten takes back states that were not recorded.
 func (c *Core) Unwritten(r Recorded) {
 	for _, s := range r.States {
