Doubt runs that the owner before may have told to stop

The old owner told a service task to stop and handed over; a stop takes up to 0.9 s, in which the VM still lists the run at 100 percent. The new owner adopted it as at work and stopped another one of the step, beyond what may be missing.

Change: an adopted run counts as at work only once a stop of the owner before would have ended, by the platform's bound for stops, and been heard of.

--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -138,7 +138,7 @@
 		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(host(i), 7000)},
 		Store: s.kv, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
 		Changed:  func(map[string]store.Item, int64) {},
-		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second},
+		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second, Stop: time.Second},
 		VMs:      &calls{site: s}, Machines: s.machines, Advisor: s,
 		Report:  func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network: s.net.From(host(i)),
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -46,6 +46,8 @@
 	Hold time.Duration
 	// Maintenance is how long a machine is away for maintenance.
 	Maintenance time.Duration
+	// Stop is the longest that a VM takes to stop a run.
+	Stop time.Duration
 	// Move is how long a machine is away when it moves to another pool.
 	Move time.Duration
 	// Keep is how long a job is kept after its end.
@@ -83,9 +85,9 @@
 	listed time.Time
 	// outdated is set while a move is due and the list is too old to choose by.
 	outdated bool
-	waves  map[int64]*wave
-	moves  map[string]*move
-	stats  Stats
+	waves    map[int64]*wave
+	moves    map[string]*move
+	stats    Stats
 	// serial is the last counter used below the epoch in a fence.
 	serial int64
 	// presumed lists the runs of the record of the owner before.
@@ -112,7 +114,10 @@
 	ordered []*vm
 	// free is the room for lists of usable VMs.
 	free []*vm
-	peak peak
+	// queue holds the stages that waited, in their order at queued.
+	queue  []*stage
+	queued time.Time
+	peak   peak
 	// offered is the rate of work that comes in.
 	offered offered
 }
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -66,6 +66,7 @@
 		r := c.newRun(t, p.vm, p.id.Number, now)
 		r.state = running
 		r.fence = 0
+		r.doubted = now.Add(c.config.Stop + stopSpare)
 	}
 	c.presumed = nil
 }
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -39,6 +39,9 @@
 	moved time.Time
 	// stopSent is when the last order to stop was given.
 	stopSent time.Time
+	// doubted is until when a run of the owner before may be one that it has told to
+	// stop.
+	doubted time.Time
 	// unsure is set when the order to start was not answered.
 	unsure bool
 }
@@ -64,6 +67,7 @@
 	r := c.newRun(t, v, p.Run.Number, now)
 	r.state = running
 	r.checkpoint, r.percent, r.load = p.Checkpoint, p.Percent, p.Load
+	r.doubted = now.Add(c.config.Stop + stopSpare)
 	v.granted(now, c.config.Hold)
 	if !wanted {
 		c.config.Log.Info("unwanted run stopped", "run", p.Run, "vm", v.ID, "phase", w.state.Phase())
@@ -78,6 +82,9 @@
 	}
 }
 
+// stopSpare is the time in which the end of a stopped run is heard of.
+const stopSpare = 400 * time.Millisecond
+
 // ghost returns a task that stands for a run which is only to be stopped.
 func ghost(w *work, id job.Task) *task {
 	g := &stage{work: w, id: id.Stage(), step: &w.Steps[id.Step]}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -55,8 +55,8 @@
 	// read is the number of the last end that was taken in, seen of the last recorded.
 	read, seen int64
 	// ends lists the ends between the two.
-	ends []mark
-	health     health
+	ends   []mark
+	health health
 	// recorded is set once the fleet's record names the VM.
 	recorded bool
 	// past holds the starts of the VM's earlier processes.
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -328,7 +328,7 @@
 // not being stopped.
 func (t *task) working(now time.Time) bool {
 	return !t.atWork.IsZero() && !slices.ContainsFunc(t.runs, func(r *run) bool {
-		return r.state == stopping || r.vm.silent || now.Sub(r.vm.heard) > freshFor
+		return r.state == stopping || now.Before(r.doubted) || r.vm.silent || now.Sub(r.vm.heard) > freshFor
 	})
 }
 
--- a/schedule/world_test.go
+++ b/schedule/world_test.go
@@ -83,7 +83,8 @@
 	w.epoch++
 	w.core = schedule.New(schedule.Config{
 		Epoch: w.epoch, Hold: holdTime, Keep: time.Minute, Maintenance: 2 * time.Second, Move: 1500 * time.Millisecond,
-		Log: hclog.NewNullLogger(),
+		Stop: 900 * time.Millisecond,
+		Log:  hclog.NewNullLogger(),
 	})
 	w.core.SetView(w.view, w.now)
 	w.core.Gate(w.fleet, w.now, 6500*time.Millisecond)
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -30,6 +30,8 @@
 	fault   WorkerFault
 	fails   bool
 	load    int64
+	// stops is how long a stop takes.
+	stops time.Duration
 }
 
 // WorkerFault is how a worker misbehaves.
@@ -51,6 +53,9 @@
 	began, ends time.Time
 	need        job.Resources
 	service     bool
+	// stopping is set by an order to stop, stopped is when it has taken effect.
+	stopping bool
+	stopped  time.Time
 }
 
 // percent returns how far a run has come.
@@ -87,6 +92,13 @@
 	w.fails = fails
 }
 
+// StopsIn makes stops take some time, from the next look at the work on.
+func (w *Worker) StopsIn(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stops = d
+}
+
 // Load sets the response times that service tasks report, in milliseconds.
 func (w *Worker) Load(tail int64) {
 	w.mu.Lock()
@@ -108,7 +120,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.runs() {
+		run := w.running[r]
+		if run.stopping && run.stopped.IsZero() {
+			run.stopped = now.Add(w.stops)
+		}
 		switch {
+		case run.stopping && !now.Before(run.stopped):
+			w.end(r, schedule.Stopped)
 		case w.fault == Stalled:
 		case w.until > 0 && now.Sub(w.start) > w.until:
 			w.end(r, schedule.Lapsed)
@@ -232,8 +250,11 @@
 	if a.Fence < w.fence {
 		return schedule.Fenced
 	}
-	if w.running[a.Run] != nil {
-		w.end(a.Run, schedule.Stopped)
+	if run := w.running[a.Run]; run != nil {
+		run.stopping = true
+		if w.stops == 0 {
+			w.end(a.Run, schedule.Stopped)
+		}
 	}
 	return schedule.Accepted
 }
