End the runs of VMs whose machine is down at once

A trace of the machines' list shows such machines as down 0.4 s after the crash.

Ruled out: the list of VMs (entries go after three heartbeats, also of VMs that are only cut off), a shorter bound for late orders (they come up to 12 s late).

Change: when a VM's machine runs it no more, its runs end at once. Starts without an answer wait on, since a VM may come back under its id, until the machine runs another one. TestMachineDown fails on the code before.

--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -156,7 +156,7 @@
 }
 
 func (c *Core) takes(v *vm, now time.Time) bool {
-	return v.attached && v.recorded && v.listed && !v.silent && !v.raise && !v.stray && !v.Draining && !v.kept &&
+	return v.attached && v.recorded && v.listed && !v.silent && !v.over && !v.raise && !v.stray && !v.Draining && !v.kept &&
 		!c.view.Out[v.Centre] && v.health.open(now)
 }
 
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -90,3 +90,7 @@
 	InMaintenance
 	Down
 )
+
+var machineStates = [...]string{"up", "moving", "in maintenance", "down"}
+
+func (s MachineState) String() string { return machineStates[s] }
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -44,6 +44,10 @@
 	silent bool
 	// missed is the number of holds in a row that were not answered.
 	missed int
+	// over is set while the list of machines shows that the VM has ended.
+	over bool
+	// machine is the one on which the VM was last listed.
+	machine string
 	// heard is when the last answer to a hold came.
 	heard time.Time
 	// serial is the part of the fence below the epoch, and raise is set when the
@@ -312,7 +316,7 @@
 		c.fleetChanged = true
 		c.look(v)
 	}
-	v.silent = false
+	v.silent, v.over = false, false
 	v.missed = 0
 	v.heard = now
 	if v.clockAt.IsZero() || r.Clock > v.at(now) {
--- a/schedule/vm_test.go
+++ b/schedule/vm_test.go
@@ -58,3 +58,37 @@
 		g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
 	}
 }
+
+// TestMachineDown: what ran on a VM whose machine is down starts elsewhere at
+// once. A start without an answer waits until the machine runs another VM, since
+// this one may come back under its id and carry it out.
+func TestMachineDown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 1)
+	w.works = time.Minute
+	w.run(time.Second)
+	w.submit(batch("known", 2))
+	w.step(50 * time.Millisecond)
+	w.maintain("vm-0", 1)
+	w.view.Waves = nil
+	w.core.SetView(w.view, w.now)
+	vm := w.vms["vm-0"]
+	vm.Set(standin.Dumb)
+	w.submit(batch("unsure", 1))
+	w.plan()
+	g.Expect(w.starts).To(gomega.HaveLen(3))
+	w.addVM("vm-1", "till")
+	w.list()
+	vm.Set(standin.Deaf)
+	vm.Restart(w.now)
+	w.run(200 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.HaveLen(3))
+	w.machines[0].VM, w.machines[0].State = "", schedule.Down
+	w.core.SetMachines(w.machines, w.now)
+	w.run(200 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.HaveLen(5), "two runs were known to be there")
+	w.machines[0].VM, w.machines[0].State = "vm-2", schedule.Up
+	w.core.SetMachines(w.machines, w.now)
+	w.run(200 * time.Millisecond)
+	g.Expect(w.starts).To(gomega.HaveLen(6))
+}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -75,6 +75,32 @@
 		if m.VM != "" {
 			c.runsOn[m.VM] = m.Name
 		}
+		if v := c.vms[m.VM]; v != nil {
+			v.machine = m.Name
+		}
+	}
+	for _, v := range c.vms {
+		if m, ok := c.machines[v.machine]; ok && m.VM != v.ID {
+			c.outlived(v, m, asked)
+		}
+	}
+}
+
+// outlived ends what ran on a VM that its machine does not run any more. Orders
+// without an answer may be carried out by a VM that comes back under the same id,
+// but not once the machine runs another one.
+func (c *Core) outlived(v *vm, m Machine, now time.Time) {
+	if !v.over {
+		c.config.Log.Info("VM over", "vm", v.ID, "machine", m.Name, "state", m.State, "runs", len(v.runs), "next", m.VM)
+		c.fleetChanged = true
+	}
+	v.over = true
+	for _, r := range v.list() {
+		if m.VM == "" && (r.state == sent || r.unsure) {
+			continue
+		}
+		c.ended(r, Lapsed, "", now)
+		c.fleetChanged = true
 	}
 }
 
