Hand over only after all known ends are recorded

Change: a handover has 2.5 s, which only a backlog or a store that is away uses, and full commits follow each other without a pause. TestHandoverAfterOutage fails on the code before. The fleet stand-in now also tells of tasks that are started again after an end which is seen later without a lapse of the lease between.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -47,7 +47,7 @@
 	// aloneFor is how long an owner that most other entries do not reach goes on.
 	aloneFor = 2 * time.Second
 	// handOverFor bounds the writing of the record for the next owner.
-	handOverFor = 700 * time.Millisecond
+	handOverFor = 2500 * time.Millisecond
 	// listWait is how long a read of the list of VMs waits for a change: watches may
 	// go silent, and what is missing for two seconds after an outage counts as gone.
 	listWait = 600 * time.Millisecond
@@ -228,7 +228,7 @@
 // giveUp lets another entry own the jobs.
 func (n *Node) giveUp(reason string) {
 	n.done.Go(func() {
-		ctx, cancel := context.WithTimeout(n.ctx, handOverFor)
+		ctx, cancel := context.WithTimeout(n.ctx, meetTimeout)
 		defer cancel()
 		if err := n.shard.StepDown(ctx, reason); err != nil {
 			n.config.Log.Warn("ownership not given up", "reason", reason, "error", err)
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -52,8 +52,10 @@
 type site struct {
 	t *testing.T
 	// mu guards workers.
-	mu    sync.Mutex
-	kv    *standin.KeyValue
+	mu sync.Mutex
+	kv *standin.KeyValue
+	// store is the store as the entries reach it.
+	store store.Store
 	net   *standin.Network
 	fleet *standin.Fleet
 	// machines are empty unless a test adds some.
@@ -74,6 +76,7 @@
 		t: t, kv: standin.NewKeyValue(), net: &standin.Network{}, fleet: standin.NewFleet(),
 		workers: make(map[string]*standin.Worker), specs: make(map[job.ID]*job.Job),
 	}
+	s.store = s.kv
 	s.machines = standin.NewMachines(standin.MachinesConfig{
 		Spare: "off", Move: moveTime, Joins: s.joins, Leaves: s.leaves,
 	})
@@ -136,7 +139,7 @@
 	name := fmt.Sprintf("entry-%d", i)
 	n, err := jobs.Start(jobs.Config{
 		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(host(i), 7000)},
-		Store: s.kv, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
+		Store: s.store, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
 		Changed:  func(map[string]store.Item, int64) {},
 		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second, Stop: time.Second},
 		VMs:      &calls{site: s}, Machines: s.machines, Advisor: s,
--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -1,7 +1,11 @@
 package jobs_test
 
 import (
+	"context"
+	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +14,8 @@
 
 	"almondcove/job"
 	"almondcove/owner"
+	"almondcove/standin"
+	"almondcove/store"
 )
 
 // TestAdvisedQueue: the tasks of a queue whose VMs another service chooses run.
@@ -53,3 +59,54 @@
 		}
 	})
 }
+
+// slowCommits is a store that may take its time to commit.
+type slowCommits struct {
+	store.Store
+	slow atomic.Bool
+}
+
+func (s *slowCommits) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	if s.slow.Load() {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// TestHandoverAfterOutage: an owner that leaves right after an outage of the store
+// records all ends that it knows of first. Their VMs may be cut off from the next
+// owner, which would start the tasks again.
+func TestHandoverAfterOutage(t *testing.T) {
+	const jobs = 120
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newSite(t, 0, 30)
+		defer s.stop()
+		slow := &slowCommits{Store: s.kv}
+		s.store = slow
+		s.nodes = append(s.nodes, s.start(0, "a"))
+		time.Sleep(3 * time.Second)
+		s.nodes = append(s.nodes, s.start(1, "a"))
+		time.Sleep(3 * time.Second)
+		var all sync.WaitGroup
+		for i := range jobs {
+			all.Go(func() { s.submit(0, job.ID(fmt.Sprint("job-", i))) })
+		}
+		all.Wait()
+		s.kv.Set(standin.Refuse)
+		time.Sleep(5 * time.Second)
+		for _, w := range s.workers {
+			g.Expect(w.Running()).To(gomega.BeEmpty())
+		}
+		slow.slow.Store(true)
+		s.kv.Set(standin.Sound)
+		// By then the owner has its lease again.
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		g.Expect(s.nodes[0].Leave(ctx)).To(gomega.Succeed())
+		items, _, err := s.kv.Range(t.Context(), "own/job/")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(items).To(gomega.BeEmpty(), "jobs that have ended, but not by the records")
+	})
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -195,7 +195,9 @@
 			return
 		case <-o.commit:
 		}
-		o.commitOnce()
+		if full := o.commitOnce(); full {
+			continue
+		}
 		if !delay.For(o.ctx, commitGap) {
 			return
 		}
@@ -209,12 +211,14 @@
 	accepted []*acceptance
 }
 
-func (o *Owner) commitOnce() {
+// commitOnce writes what there is to record and reports whether a commit was full,
+// so that there is nothing to wait for.
+func (o *Owner) commitOnce() bool {
 	o.mu.Lock()
 	core := o.core
 	if !o.active {
 		o.mu.Unlock()
-		return
+		return false
 	}
 	l, err := o.gather()
 	if l.batch.Size() > 0 {
@@ -223,7 +227,7 @@
 	o.mu.Unlock()
 	if err != nil {
 		o.config.Log.Error("records not encoded", "error", err)
-		return
+		return false
 	}
 	if l.batch.Size() > 0 {
 		began := time.Now()
@@ -234,6 +238,7 @@
 	defer o.mu.Unlock()
 	o.since = time.Time{}
 	o.committed(core, l, err)
+	return err == nil && l.batch.Size() >= ledger.MostWrites-1
 }
 
 // gather takes what is to be written.
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -30,6 +30,8 @@
 	fault   WorkerFault
 	fails   bool
 	load    int64
+	// lapsed is the number of the last end after which the lease has lapsed.
+	lapsed int64
 	// stops is how long a stop takes.
 	stops time.Duration
 }
@@ -173,6 +175,9 @@
 	delete(w.running, r)
 	w.number++
 	w.ended = append(w.ended, schedule.End{Number: w.number, Run: r, How: how})
+	if w.Fleet != nil && how == schedule.Done {
+		w.Fleet.finished(r)
+	}
 }
 
 // Hold carries out a hold.
@@ -187,9 +192,12 @@
 	}
 	w.fence = h.Fence
 	clock := now.Sub(w.start)
+	if w.until > 0 && clock > w.until {
+		w.lapsed = w.number
+	}
 	w.until = max(w.until, min(h.Until, clock+hold))
 	if w.Fleet != nil {
-		w.Fleet.seen(w.ended, h.Seen)
+		w.Fleet.seen(w.ended, h.Seen, w.lapsed)
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e schedule.End) bool { return e.Number <= h.Seen })
 	if w.fault == Dumb {
@@ -260,18 +268,27 @@
 }
 
 // Fleet checks what must hold of all workers together: no task runs twice at
-// once, none starts again after its end was seen, and no worker runs more than
-// it has room for.
+// once, none starts again after an end that is seen then or later, and no worker
+// runs more than it has room for.
 type Fleet struct {
 	mu      sync.Mutex
 	workers []*Worker
 	// done holds the tasks whose end as done was seen.
-	done     map[job.Task]bool
+	done map[job.Task]bool
+	// ended holds the runs that have ended as done by their tasks, outdone those
+	// whose task was started again after that.
+	ended    map[job.Task][]schedule.Run
+	outdone  map[schedule.Run]bool
 	breaches []string
 }
 
 // NewFleet returns a fleet without workers.
-func NewFleet() *Fleet { return &Fleet{done: make(map[job.Task]bool)} }
+func NewFleet() *Fleet {
+	return &Fleet{
+		done:  make(map[job.Task]bool),
+		ended: make(map[job.Task][]schedule.Run), outdone: make(map[schedule.Run]bool),
+	}
+}
 
 // Breaches returns what was found.
 func (f *Fleet) Breaches() []string {
@@ -293,6 +310,9 @@
 	if !w.used().Within(w.VM.Capacity) {
 		f.breaches = append(f.breaches, fmt.Sprintf("%s has no room for %v", w.VM.ID, r))
 	}
+	for _, before := range f.ended[r.Task] {
+		f.outdone[before] = true
+	}
 	if f.done[r.Task] {
 		f.breaches = append(f.breaches, fmt.Sprintf("%v starts though its end was seen", r))
 	}
@@ -308,6 +328,13 @@
 	}
 }
 
+// finished takes note of a run that has ended as done.
+func (f *Fleet) finished(r schedule.Run) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ended[r.Task] = append(f.ended[r.Task], r)
+}
+
 // has reports whether the worker runs a task. Workers are looked at while the
 // one that starts a task is locked, so this one is only tried.
 func (w *Worker) has(t job.Task) bool {
@@ -323,13 +350,18 @@
 	return false
 }
 
-// seen takes note of the ends that an owner has seen.
-func (f *Fleet) seen(ends []schedule.End, upto int64) {
+// seen takes note of the ends that an owner has seen. After a lapse nobody could
+// know of the earlier ones, so their tasks may have been started again.
+func (f *Fleet) seen(ends []schedule.End, upto, lapsed int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, e := range ends {
-		if e.Number <= upto && e.How == schedule.Done {
-			f.done[e.Run.Task] = true
+		if e.Number > upto || e.How != schedule.Done {
+			continue
+		}
+		f.done[e.Run.Task] = true
+		if f.outdone[e.Run] && e.Number > lapsed {
+			f.breaches = append(f.breaches, fmt.Sprintf("%v has ended as done and was started again", e.Run))
 		}
 	}
 }
