Hand the ownership to a much stronger entry

Change: an owner hands over to an entry of twice its power that it has met of late. A core that goes on under a later epoch is no longer closing. TestStrongerEntry fails on the code before.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -46,6 +46,9 @@
 	cutAfter = 1500 * time.Millisecond
 	// aloneFor is how long an owner that most other entries do not reach goes on.
 	aloneFor = 2 * time.Second
+	// muchStronger is how many times the own power an entry has to have to be handed
+	// the ownership: an owner that is too weak stays behind for as long as it owns.
+	muchStronger = 2
 	// handOverFor bounds the writing of the record for the next owner.
 	handOverFor = 2500 * time.Millisecond
 	// listWait is how long a read of the list of VMs waits for a change: watches may
@@ -375,20 +378,35 @@
 	n.operators.Offer(copied)
 }
 
-// judgeOwn gives up the ownership when most other entries don't reach this one.
+// judgeOwn gives up the ownership when most other entries don't reach this one, or
+// when one that is much stronger could take it.
 func (n *Node) judgeOwn(members []shard.Member) {
 	n.mu.Lock()
-	met := 0
+	met, strongest := 0, 0
 	for _, m := range members {
 		if time.Since(n.met[m.Name]) < aloneFor {
 			met++
+			strongest = max(strongest, m.Power)
 		}
 	}
 	young := time.Since(n.owning) < 2*aloneFor
 	n.mu.Unlock()
 	own, known := n.shard.Owner()
-	if !known || own.Run != n.config.Self.Run || young || len(members) < 2 || 2*met >= len(members) {
+	if !known || own.Run != n.config.Self.Run || young {
 		return
 	}
-	n.giveUp("not reached by most entries")
+	switch {
+	case len(members) >= 2 && 2*met < len(members):
+		n.giveUp("not reached by most entries")
+	case n.config.Self.Power > 0 && strongest >= muchStronger*n.config.Self.Power && n.valid():
+		n.yield()
+	}
+}
+
+// yield hands the ownership over to a stronger entry, which stands first.
+func (n *Node) yield() {
+	ctx, cancel := context.WithTimeout(n.ctx, handOverFor)
+	defer cancel()
+	n.owner.HandOver(ctx)
+	n.giveUp("a stronger entry is there")
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -54,6 +54,8 @@
 	// mu guards workers.
 	mu sync.Mutex
 	kv *standin.KeyValue
+	// power is that of the entries that are started next.
+	power int
 	// store is the store as the entries reach it.
 	store store.Store
 	net   *standin.Network
@@ -138,7 +140,7 @@
 	began := time.Now()
 	name := fmt.Sprintf("entry-%d", i)
 	n, err := jobs.Start(jobs.Config{
-		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(host(i), 7000)},
+		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(host(i), 7000), Power: s.power},
 		Store: s.store, Prefix: "own/", Operators: "conf/", List: "vms/", Decoder: decoder{},
 		Changed:  func(map[string]store.Item, int64) {},
 		Schedule: schedule.Config{Hold: 6 * time.Second, Keep: time.Minute, Maintenance: time.Second, Move: time.Second, Stop: time.Second},
--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -110,3 +110,28 @@
 		g.Expect(items).To(gomega.BeEmpty(), "jobs that have ended, but not by the records")
 	})
 }
+
+// TestStrongerEntry: an entry that owns the jobs hands them to one that is much
+// stronger, once that has come, and what runs goes on.
+func TestStrongerEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newSite(t, 0, 2)
+		defer s.stop()
+		s.power = 200
+		s.nodes = append(s.nodes, s.start(0, "a"))
+		time.Sleep(3 * time.Second)
+		g.Expect(s.submit(0, "1")).To(gomega.Equal(owner.Done))
+		s.power = 800
+		s.nodes = append(s.nodes, s.start(1, "a"))
+		time.Sleep(6 * time.Second)
+		g.Expect(s.submit(0, "2")).To(gomega.Equal(owner.Done))
+		owns, err := s.kv.Get(t.Context(), "own/live/owner")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(owns.Value)).To(gomega.ContainSubstring(`"entry-1"`))
+		time.Sleep(4 * time.Second)
+		for _, id := range []job.ID{"1", "2"} {
+			g.Expect(s.show(0, id).Phase).To(gomega.Equal(job.Completed))
+		}
+	})
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -203,6 +203,7 @@
 // SetEpoch makes the core go on under a later epoch of the same process.
 func (c *Core) SetEpoch(epoch int64) {
 	c.epoch = epoch
+	c.closing = false
 	for _, v := range c.vms {
 		v.refence()
 	}
