Own the jobs only with the configuration; let stages follow their queue

Ends that VMs then listed opened the next steps under no pool, where nothing ever runs (the pools show waiting=0 to the end), and a task that had failed once ended its job, since a queue that is not known allows one attempt.

Change: an owner begins once it knows a configuration, and gives up after 5 s like one that can't read the records; a new configuration moves waiting stages to their queue's pool.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -107,13 +107,15 @@
 	// active is set while this entry is the owner and has read the records.
 	active bool
 	// term is that of the last election; a recovery of an earlier one is void.
-	term    shard.Term
-	view    schedule.View
-	vms     []schedule.VM
-	list    bool
-	pending map[job.ID]*acceptance
-	queue   []*acceptance
-	waiters []*waiter
+	term shard.Term
+	view schedule.View
+	// configured is set once there is a view.
+	configured bool
+	vms        []schedule.VM
+	list       bool
+	pending    map[job.ID]*acceptance
+	queue      []*acceptance
+	waiters    []*waiter
 	// loops holds the VMs with which a session is kept.
 	loops map[string]*session
 	// since is when the commit on its way was begun; zero means none.
@@ -169,6 +171,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.view = v
+	o.configured = true
 	if o.core != nil {
 		o.core.SetView(v, time.Now())
 		wake(o.plan)
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -42,8 +42,31 @@
 			Log:      hclog.NewNullLogger(),
 		})
 		defer o.Close()
+		o.SetView(schedule.View{})
 		o.Elected(shard.Term{Epoch: 1})
 		time.Sleep(9 * time.Second)
 		g.Expect(given).To(gomega.Receive(gomega.Equal("records not read")))
 	})
 }
+
+// TestOwnerWithoutConfiguration: an owner acts only once it knows the operators'
+// configuration.
+func TestOwnerWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		o := owner.New(owner.Config{
+			Ledger:   ledger.New(ledger.Config{Store: standin.NewKeyValue(), Run: "a"}),
+			Valid:    func() bool { return true },
+			Machines: standin.NewMachines(standin.MachinesConfig{}),
+			Report:   func(context.Context, []schedule.WaveState) error { return nil },
+			Log:      hclog.NewNullLogger(),
+		})
+		defer o.Close()
+		o.Elected(shard.Term{Epoch: 1})
+		time.Sleep(time.Second)
+		g.Expect(o.Show("1").Outcome).To(gomega.Equal(owner.NotOwner))
+		o.SetView(schedule.View{})
+		time.Sleep(time.Second)
+		g.Expect(o.Show("1").Outcome).To(gomega.Equal(owner.NoJob))
+	})
+}
--- a/owner/term.go
+++ b/owner/term.go
@@ -77,16 +77,14 @@
 	began := time.Now()
 	for o.ctx.Err() == nil {
 		o.mu.Lock()
-		current := o.current(t)
+		current, configured := o.current(t), o.configured
 		o.mu.Unlock()
 		if !current {
 			return
 		}
-		ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
-		content, err := o.config.Ledger.Load(ctx)
-		cancel()
-		if err == nil {
-			err = o.begin(t, content, began)
+		err := error(&Unconfigured{})
+		if configured {
+			err = o.load(t, began)
 		}
 		if err == nil {
 			return
@@ -100,6 +98,23 @@
 	}
 }
 
+// Unconfigured reports an owner that does not know the operators' configuration
+// yet. Without it nobody knows where tasks may run and how often they may fail.
+type Unconfigured struct{}
+
+func (*Unconfigured) Error() string { return "owner: no configuration yet" }
+
+// load reads the records once and begins to act by them.
+func (o *Owner) load(t shard.Term, began time.Time) error {
+	ctx, cancel := context.WithTimeout(o.ctx, loadTimeout)
+	defer cancel()
+	content, err := o.config.Ledger.Load(ctx)
+	if err != nil {
+		return err
+	}
+	return o.begin(t, content, began)
+}
+
 // begin makes a core of the records.
 func (o *Owner) begin(t shard.Term, content ledger.Content, began time.Time) error {
 	var fleet schedule.Fleet
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -213,6 +213,22 @@
 func (c *Core) SetView(v View, now time.Time) {
 	c.view = v
 	c.setWaves(v.Waves, now)
+	c.rehome()
+}
+
+// rehome moves the stages of queues whose pool has changed, or was not known
+// before, to the pool on whose VMs they run now.
+func (c *Core) rehome() {
+	for _, w := range c.jobs {
+		p := c.poolOf(w)
+		for id, g := range w.stages {
+			if p.stages[id] == g || w.state.StageDone(id) {
+				continue
+			}
+			c.closeStage(g)
+			p.stages[id] = g
+		}
+	}
 }
 
 // Job returns the phase of a job as it is recorded.
