--- a/schedule/core.go
+++ b/schedule/core.go
@@ -220,6 +220,9 @@
 // before, to the pool on whose VMs they run now.
 func (c *Core) rehome() {
 	for _, w := range c.jobs {
+		if w.state.Phase().Final() {
+			continue
+		}
 		p := c.poolOf(w)
 		for id, g := range w.stages {
 			if p.stages[id] == g || w.state.StageDone(id) {
--- a/schedule/view_test.go
+++ b/schedule/view_test.go
@@ -28,3 +28,26 @@
 	w.run(3 * time.Second)
 	g.Expect(phase(w, "1")).To(gomega.Equal(job.Completed))
 }
+
+// TestEndedJobAndNewConfiguration: a job that has failed starts nothing when the
+// configuration changes before its end is recorded.
+func TestEndedJobAndNewConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 2)
+	w.run(time.Second)
+	for _, vm := range w.vms {
+		vm.Fail(true)
+	}
+	w.submit(batch("1", 1))
+	for len(w.starts) < 2 {
+		w.step(50 * time.Millisecond)
+	}
+	w.now = w.now.Add(2 * time.Second)
+	for _, id := range w.ids() {
+		w.vms[id].Work(w.now)
+		w.hold(id)
+	}
+	w.core.SetView(w.view, w.now)
+	w.plan()
+	g.Expect(w.starts).To(gomega.HaveLen(2))
+}
