Give VMs no more time once the record limits it

Its last record says of each VM how long it may go on; holds went on for the rest of the handover, now up to 2.5 s, and gave VMs more. The next owner could not reach them, relied on the record and started their tasks 0.7 s before the leases lapsed. The same holds for a silent VM that answers again while its record can't be written anew.

Ruled out: clocks (the margin of 2 % and 0.5 s is there), the list of machines.

Change: a VM whose record may say that it is given no more time is given none until another record is written. TestNoMoreTimeAfterHandover fails on the code before.

--- a/schedule/budget_test.go
+++ b/schedule/budget_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/schedule"
+	"almondcove/standin"
 )
 
 // TestBudgetAfterHandover: a run that the owner before has told to stop is still
@@ -40,3 +41,24 @@
 	w.run(5 * time.Second)
 	g.Expect(w.maintained).To(gomega.ContainElement("m-" + busy[1]))
 }
+
+// TestNoMoreTimeAfterHandover: once the record for the next owner says how long
+// VMs may go on, they are given no more time, so that the next owner may rely on it.
+func TestNoMoreTimeAfterHandover(t *testing.T) {
+	g := gomega.NewWithT(t)
+	w := newWorld(t, 1)
+	w.run(time.Second)
+	w.submit(service("1", 1, 1))
+	w.run(time.Second)
+	g.Expect(w.starts).To(gomega.HaveLen(1))
+	w.now = w.now.Add(2 * time.Second)
+	w.core.Close()
+	w.record()
+	w.hold("vm-0")
+	w.vms["vm-0"].Set(standin.Deaf)
+	w.addVM("vm-1", "till")
+	w.elect()
+	// The stand-in of the fleet tells of two runs at the same time.
+	w.run(8 * time.Second)
+	g.Expect(w.starts).To(gomega.HaveLen(2))
+}
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -35,7 +35,7 @@
 			c.gates[l.ID] = &gate{pool: l.Pool, until: until}
 			continue
 		}
-		v.silent = true
+		v.silent, v.exact = true, true
 		v.lapse = began.Add(min(l.Left, hold))
 		for _, id := range l.Held {
 			c.presumed = append(c.presumed, presumed{v, id})
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -138,6 +138,7 @@
 	for _, l := range r.Fleet.VMs {
 		if v := c.vms[l.ID]; v != nil {
 			v.recorded = !l.Exact && !v.silent
+			v.exact = l.Exact
 		}
 	}
 }
@@ -178,13 +179,15 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// Fleet returns what is to be recorded beside the jobs.
+// Fleet returns what is to be recorded beside the jobs. VMs of which it says that
+// they are given no more time are given none from now on.
 func (c *Core) Fleet(now time.Time) Fleet {
 	out := Fleet{Begun: make(map[int64][]string)}
 	for _, l := range c.Sessions() {
 		v := c.vms[l.ID]
 		p := Place{VM: l, Exact: c.closing || v.silent}
 		if p.Exact {
+			v.exact = true
 			for _, r := range v.list() {
 				p.Held = append(p.Held, r.id)
 			}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -69,6 +69,9 @@
 	// ends lists the ends between the two.
 	ends   []mark
 	health health
+	// exact is set while the record may say that the VM is given no more time; it is
+	// given none then.
+	exact bool
 	// recorded is set once the fleet's record names the VM.
 	recorded bool
 	// past holds the starts of the VM's earlier processes.
@@ -222,7 +225,7 @@
 	}
 	h.Fence = v.fence(c.epoch)
 	// A silent VM is given no more time, or what it runs could never be taken as ended.
-	if !v.clockAt.IsZero() && !v.silent {
+	if !v.clockAt.IsZero() && !v.silent && !v.exact {
 		h.Until = v.at(now) + c.config.Hold
 		v.granted(now, c.config.Hold)
 	}
