Ask about one team's units without counting all teams

Ruled out: one map for all questions of a look, which each caller would carry along.

Change: both questions share one rule for one team, class and pool, and Queue.Waiting, now of a class, serves it and Queue.Ahead. What nothing calls is gone. Behaviour is as before.

Tests keep their assertions.

--- a/dispatch/start.go
+++ b/dispatch/start.go
@@ -208,9 +208,17 @@
 
 // Wants returns the teams whose tasks wait for nothing but their limit.
 func (c *Core) Wants(now time.Time) []Want {
-	out := make([]Want, 0)
-	for team, n := range c.startable() {
-		if c.book.Free(team, now) <= 0 {
+	lack := make(map[string]int)
+	for pool, q := range c.queues {
+		q.Each(func(team string, rank, waiting int) {
+			if c.book.Free(team, now) <= 0 {
+				lack[team] += c.startable(pool, team, rank, waiting)
+			}
+		})
+	}
+	out := make([]Want, 0, len(lack))
+	for team, n := range lack {
+		if n > 0 {
 			out = append(out, Want{Team: team, Units: n})
 		}
 	}
@@ -221,24 +229,22 @@
 // WaitsForUnits reports whether the team has tasks that wait for nothing but
 // its limit.
 func (c *Core) WaitsForUnits(team string) bool {
-	return c.startable()[team] > 0
-}
-
-// startable returns the number of each team's waiting tasks that its limit
-// alone may keep from starting: their pool has a free slot, and their part of
-// a contended pool is not used up.
-func (c *Core) startable() map[string]int {
-	out := make(map[string]int)
 	for pool, q := range c.queues {
-		if !c.table.Ready(pool) {
-			continue
-		}
-		q.Each(func(team string, rank, waiting int) {
-			n := min(waiting, c.room(pool, team, rank))
-			if rank < c.ranks() && n > 0 {
-				out[team] += n
+		for rank := range share.Ranks {
+			if c.startable(pool, team, rank, q.Waiting(team, rank)) > 0 {
+				return true
 			}
-		})
+		}
 	}
-	return out
+	return false
+}
+
+// startable returns how many of a team's waiting tasks of a class its limit alone
+// may keep from starting: their pool has a free slot, the class may start, and
+// their part of a contended pool is not used up.
+func (c *Core) startable(pool, team string, rank, waiting int) int {
+	if waiting == 0 || rank >= c.ranks() || !c.table.Ready(pool) {
+		return 0
+	}
+	return max(min(waiting, c.room(pool, team, rank)), 0)
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -65,7 +65,6 @@
 	workers  map[string]*standin.Worker
 	nodes    []*jobs.Node
 	restarts int
-	specs    map[job.ID]*job.Job
 }
 
 const (
@@ -76,7 +75,7 @@
 func newSite(t *testing.T, entries, vms int) *site {
 	s := &site{
 		t: t, kv: standin.NewKeyValue(), net: &standin.Network{}, fleet: standin.NewFleet(),
-		workers: make(map[string]*standin.Worker), specs: make(map[job.ID]*job.Job),
+		workers: make(map[string]*standin.Worker),
 	}
 	s.store = s.kv
 	s.machines = standin.NewMachines(standin.MachinesConfig{
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -136,18 +136,6 @@
 	return own >= a.lentSum+max(len(a.running)-a.heldSum, 0)
 }
 
-// Lent returns the team's running loans to others, the earliest to end first.
-func (b *Book) Lent(team string, now time.Time) []Loan {
-	a := b.account(team)
-	a.expire(now)
-	out := make([]Loan, 0, len(a.lent))
-	for _, l := range a.lent {
-		out = append(out, *l)
-	}
-	sortLoans(out)
-	return out
-}
-
 // Held returns the units of the team that are borrowed now.
 func (b *Book) Held(team string, now time.Time) int {
 	a := b.account(team)
--- a/share/queue.go
+++ b/share/queue.go
@@ -91,15 +91,12 @@
 	return q.size
 }
 
-// Waiting returns the number of the team's waiting tasks.
-func (q *Queue) Waiting(team string) int {
-	n := 0
-	for i := range q.ranks {
-		if l := q.ranks[i].lines[team]; l != nil {
-			n += l.size
-		}
+// Waiting returns the number of the team's waiting tasks of a class.
+func (q *Queue) Waiting(team string, rank int) int {
+	if l := q.ranks[rank].lines[team]; l != nil {
+		return l.size
 	}
-	return n
+	return 0
 }
 
 // Ahead returns the number of the team's waiting tasks that go before a new one
@@ -107,9 +104,7 @@
 func (q *Queue) Ahead(team string, rank int) int {
 	n := 0
 	for i := range rank + 1 {
-		if l := q.ranks[i].lines[team]; l != nil {
-			n += l.size
-		}
+		n += q.Waiting(team, i)
 	}
 	return n
 }
