Let one piece serve what the jobs' code had written twice

Ruled out: sharing the watch of package shard with package mirror (it takes single events and lists again by itself), the protocols of etcd and platform (they differ), the tests' set-ups.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -23,6 +23,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"almondcove/delay"
 	"almondcove/ledger"
 	"almondcove/mirror"
 	"almondcove/network"
@@ -285,12 +286,7 @@
 			n.meetOne(own.Member)
 		}
 		n.judgeOwn(members)
-		t := time.NewTimer(meetEvery)
-		select {
-		case <-n.ctx.Done():
-			t.Stop()
-		case <-t.C:
-		}
+		delay.For(n.ctx, meetEvery)
 	}
 }
 
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"almondcove/delay"
 	"almondcove/job"
 	"almondcove/owner"
 	"almondcove/peer"
@@ -45,12 +46,7 @@
 		if !again || ctx.Err() != nil || !unsettled && time.Since(began) > findFor {
 			break
 		}
-		t := time.NewTimer(findPause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-		case <-t.C:
-		}
+		delay.For(ctx, findPause)
 	}
 	out := conclude(last, unsettled)
 	if out.Outcome == owner.Refused && n.CutOff() {
--- a/owner/term.go
+++ b/owner/term.go
@@ -134,7 +134,7 @@
 	c.Log = o.config.Log
 	o.core = schedule.New(c)
 	o.core.SetView(o.view, now)
-	o.core.Gate(fleet, began, c.Hold+c.Hold/50+gateMargin)
+	o.core.Gate(fleet, began, c.Longest()+gateMargin)
 	for _, k := range content.Jobs {
 		o.core.Add(k.Job, k.State, now)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -52,15 +52,27 @@
 }
 
 func (m *Mesh) connect(a netip.AddrPort) (*grpc.ClientConn, error) {
-	return grpc.NewClient("passthrough:///"+a.String(),
+	return connect(a, m.config.Dial, callTimeout, callTimeout)
+}
+
+// firstRetry is the first pause between two tries to open a connection.
+const firstRetry = 100 * time.Millisecond
+
+// connect prepares the connection to an address. It is tried anew after pauses of
+// retry at the most; dialing bounds one try.
+func connect(
+	a netip.AddrPort, dial func(context.Context, string) (net.Conn, error), retry, dialing time.Duration,
+	more ...grpc.DialOption,
+) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+a.String(), append(more,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(m.config.Dial),
+		grpc.WithContextDialer(dial),
 		grpc.WithNoProxy(),
 		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, MaxDelay: callTimeout},
-			MinConnectTimeout: callTimeout,
+			Backoff:           backoff.Config{BaseDelay: firstRetry, Multiplier: 1.6, MaxDelay: retry},
+			MinConnectTimeout: dialing,
 		}),
-	)
+	)...)
 }
 
 // begin reports whether a beat may start; one goes out at a time.
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -5,14 +5,13 @@
 	"encoding/json"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
@@ -127,17 +126,9 @@
 	if l.open == nil {
 		return nil, &Unanswered{Peer: to, Cause: net.ErrClosed}
 	}
-	c, err := grpc.NewClient("passthrough:///"+to.String(),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return l.dial(ctx, "tcp", address)
-		}),
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: linkRetry / 3, Multiplier: 1.6, MaxDelay: linkRetry},
-			MinConnectTimeout: linkDial,
-		}),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: linkSilence, Timeout: linkProbe}),
-	)
+	dial := func(ctx context.Context, address string) (net.Conn, error) { return l.dial(ctx, "tcp", address) }
+	c, err := connect(to, dial, linkRetry, linkDial,
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: linkSilence, Timeout: linkProbe}))
 	if err != nil {
 		return nil, &Unanswered{Peer: to, Cause: err}
 	}
@@ -190,9 +181,8 @@
 
 // neverSent reports whether a call failed because no connection could be opened.
 func neverSent(err error) bool {
-	text := status.Convert(err).Message()
 	const dialing = "connection error: desc = \"transport: Error while dialing"
-	return len(text) >= len(dialing) && text[:len(dialing)] == dialing
+	return strings.HasPrefix(status.Convert(err).Message(), dialing)
 }
 
 // Submit hands a job to the entry at an address.
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -55,6 +55,10 @@
 	Log  hclog.Logger
 }
 
+// Longest returns how long VMs may go on, by the owner's clock, with what they were
+// given last.
+func (c Config) Longest() time.Duration { return stretched(c.Hold) }
+
 // Core is the state of all jobs and VMs. It is not safe for concurrent use.
 type Core struct {
 	config Config
@@ -72,6 +76,8 @@
 	dirty    map[job.ID]*work
 	actions  []Action
 	machines map[string]Machine
+	// names lists the machines by name.
+	names []string
 	// told is when the loads of the pools were last logged.
 	told time.Time
 	// learned holds what is known of each queue's tasks and jobs.
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -19,25 +19,17 @@
 	// wantFalls is the time in which a pool's want falls to a third of its peak, as
 	// far as giving VMs away goes: demand swings from one job to the next.
 	wantFalls = 1500 * time.Millisecond
-	// moveAgain is when an order to move is given once more.
-	moveAgain = 1500 * time.Millisecond
 	// leastVMs is the number of VMs that stay in a pool that asks for nothing.
 	leastVMs = 1
 )
 
 // move is one machine on its way to another pool.
 type move struct {
+	machineOrder
 	to       string
-	vm       string
 	capacity job.Resources
-	// since is when the machine was chosen. Ordered is when the order was last
-	// given, zero while its VM is still being emptied.
-	since, ordered time.Time
 	// done is when the platform accepted the order; zero means not yet.
 	done time.Time
-	// unsure is set while an order without an answer may still be carried out.
-	unsure bool
-	denied time.Time
 }
 
 // planMoves moves machines of idle VMs to the pools that lack room, first those
@@ -89,9 +81,9 @@
 			if at.State == Up && at.Pool == m.to && c.listed.After(m.done) && now.Sub(m.done) > c.config.Move {
 				c.endMove(name)
 			}
-		case !m.denied.IsZero() && !m.unsure && c.listed.After(m.denied) && at.State == Up:
+		case m.refused(at, c.listed):
 			c.endMove(name)
-		case now.Sub(m.ordered) > moveAgain:
+		case m.overdue(now):
 			m.ordered = now
 			c.actions = append(c.actions, Move{Machine: name, Pool: m.to})
 		}
@@ -122,15 +114,9 @@
 	if m == nil || m.to != a.Pool {
 		return
 	}
-	switch r {
-	case MachineDone:
+	if m.accepted(r, now) {
 		m.done = now
 		c.depart(m.vm, now)
-	case MachineUnanswered:
-		m.unsure = true
-	case MachineBusy, MachineWrong:
-		m.denied = now
-	case MachineRefused, MachineFenced:
 	}
 }
 
@@ -186,66 +172,50 @@
 
 // emptyOne begins to empty a VM of a pool that has more than it needs in time.
 func (c *Core) emptyOne(to *load, loads []*load, now time.Time) bool {
-	for _, l := range loads {
-		if l == to || l.short() {
-			continue
-		}
-		for i, v := range l.full {
-			m, ok := c.machineOf(v.ID)
-			if !ok || !l.spares(v) {
-				continue
-			}
-			l.full = slices.Delete(l.full, i, i+1)
-			l.lose(v)
-			to.expect(v.Capacity)
-			c.moves[m.Name] = &move{to: to.pool.name, vm: v.ID, capacity: v.Capacity, since: now}
-			c.keep(v.ID, true)
-			c.config.Log.Info("machine to move", "machine", m.Name, "from", l.pool.name, "to", to.pool.name,
-				"vm", v.ID, "runs", len(v.runs))
-			return true
-		}
+	v, m, from := c.donor(to, loads, func(l *load) *[]*vm { return &l.full })
+	if v == nil {
+		return false
 	}
-	return false
+	to.expect(v.Capacity)
+	c.beginMove(m, to.pool.name, v.Capacity, now)
+	c.config.Log.Info("machine to move", "machine", m.Name, "from", from.pool.name, "to", to.pool.name,
+		"vm", v.ID, "runs", len(v.runs))
+	return true
 }
 
 // source returns the machine that another pool misses least.
 func (c *Core) source(to *load, loads []*load) (Machine, bool) {
+	if v, m, _ := c.donor(to, loads, func(l *load) *[]*vm { return &l.idle }); v != nil {
+		return m, true
+	}
+	for _, name := range c.names {
+		m := c.machines[name]
+		if m.Pool == c.view.Spare && m.State == Up && !c.takenElsewhere(name) && !c.view.Out[m.Centre] {
+			return m, true
+		}
+	}
+	return Machine{}, false
+}
+
+// donor takes the first VM with its machine that another pool can do without out
+// of the list that of names. It returns nil when there is none.
+func (c *Core) donor(to *load, loads []*load, of func(*load) *[]*vm) (*vm, Machine, *load) {
 	for _, l := range loads {
 		if l == to || l.short() {
 			continue
 		}
-		for i, v := range l.idle {
+		list := of(l)
+		for i, v := range *list {
 			m, ok := c.machineOf(v.ID)
 			if !ok || !l.spares(v) {
 				continue
 			}
-			l.idle = slices.Delete(l.idle, i, i+1)
+			*list = slices.Delete(*list, i, i+1)
 			l.lose(v)
-			return m, true
+			return v, m, l
 		}
 	}
-	for _, name := range c.machineNames() {
-		m := c.machines[name]
-		if m.Pool == c.view.Spare && m.State == Up && !c.takenElsewhere(name) && !c.view.Out[m.Centre] {
-			return m, true
-		}
-	}
-	return Machine{}, false
-}
-
-func (c *Core) machineNames() []string {
-	out := make([]string, 0, len(c.machines))
-	for name := range c.machines {
-		out = append(out, name)
-	}
-	slices.Sort(out)
-	return out
-}
-
-// machineOf returns the machine on which a VM runs, if it can be moved.
-func (c *Core) machineOf(id string) (Machine, bool) {
-	m, ok := c.machines[c.runsOn[id]]
-	return m, ok && m.State == Up && !c.takenElsewhere(m.Name)
+	return nil, Machine{}, nil
 }
 
 func (c *Core) moveTo(m Machine, l *load, now time.Time) {
@@ -254,12 +224,19 @@
 }
 
 func (c *Core) orderMove(m Machine, to string, now time.Time) {
-	c.moves[m.Name] = &move{to: to, vm: m.VM, capacity: m.Capacity, since: now, ordered: now}
-	c.keep(m.VM, true)
+	c.beginMove(m, to, m.Capacity, now).ordered = now
 	c.actions = append(c.actions, Move{Machine: m.Name, Pool: to})
 	c.config.Log.Info("machine moves", "machine", m.Name, "from", m.Pool, "to", to, "vm", m.VM)
 }
 
+// beginMove notes that a machine is to move, and keeps its VM free of new tasks.
+func (c *Core) beginMove(m Machine, to string, capacity job.Resources, now time.Time) *move {
+	out := &move{machineOrder: machineOrder{since: now, vm: m.VM}, to: to, capacity: capacity}
+	c.moves[m.Name] = out
+	c.keep(m.VM, true)
+	return out
+}
+
 // park switches off the machines of VMs that stay idle.
 func (c *Core) park(loads []*load, now time.Time) {
 	if c.view.Spare == "" {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -43,11 +43,14 @@
 }
 
 func (c *Core) sortedPools() []*pool {
-	out := make([]*pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		out = append(out, p)
-	}
-	slices.SortFunc(out, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+	return sortedValues(c.pools, func(a, b *pool) int { return cmp.Compare(a.name, b.name) })
+}
+
+// sortedValues returns the values of a map in an order that does not depend on
+// the map's.
+func sortedValues[K comparable, V any](m map[K]V, compare func(a, b V) int) []V {
+	out := slices.AppendSeq(make([]V, 0, len(m)), maps.Values(m))
+	slices.SortFunc(out, compare)
 	return out
 }
 
@@ -139,8 +142,7 @@
 // sorted returns the pool's VMs by id.
 func (p *pool) sorted() []*vm {
 	if p.ordered == nil {
-		p.ordered = slices.AppendSeq(make([]*vm, 0, len(p.vms)), maps.Values(p.vms))
-		slices.SortFunc(p.ordered, func(a, b *vm) int { return cmp.Compare(a.ID, b.ID) })
+		p.ordered = sortedValues(p.vms, func(a, b *vm) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return p.ordered
 }
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -44,11 +44,7 @@
 // those of jobs that have ended two each. They come first.
 func (c *Core) Take(keys int, now time.Time) (Recorded, error) {
 	var out Recorded
-	list := make([]*work, 0, len(c.dirty))
-	for _, w := range c.dirty {
-		list = append(list, w)
-	}
-	slices.SortFunc(list, func(a, b *work) int {
+	list := sortedValues(c.dirty, func(a, b *work) int {
 		return cmp.Or(cmp.Compare(b.state.Phase(), a.state.Phase()), cmp.Compare(a.ID, b.ID))
 	})
 	for _, w := range list {
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 
 	"almondcove/job"
@@ -193,12 +192,7 @@
 
 // list returns the runs in a stable order.
 func (v *vm) list() []*run {
-	out := make([]*run, 0, len(v.runs))
-	for _, r := range v.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return compareRuns(a.id, b.id) })
-	return out
+	return sortedValues(v.runs, func(a, b *run) int { return compareRuns(a.id, b.id) })
 }
 
 func (c *Core) look(v *vm) {
@@ -249,12 +243,15 @@
 
 // granted notes that the VM may run what it has until d after now.
 func (v *vm) granted(now time.Time, d time.Duration) {
-	lapse := now.Add(d + time.Duration(drift*float64(d)) + v.slack(now))
+	lapse := now.Add(stretched(d) + v.slack(now))
 	if lapse.After(v.lapse) {
 		v.lapse = lapse
 	}
 }
 
+// stretched returns how long a time on a VM's clock may take on ours.
+func stretched(d time.Duration) time.Duration { return d + time.Duration(drift*float64(d)) }
+
 // slack is how far the VM's clock may have run behind since it was last read.
 func (v *vm) slack(now time.Time) time.Duration {
 	return time.Duration(drift*float64(now.Sub(v.clockAt))) + 50*time.Millisecond
@@ -311,8 +308,6 @@
 	}
 	if v.silent {
 		c.config.Log.Info("VM answers", "vm", v.ID, "fence", h.Fence, "running", len(r.Running))
-	}
-	if v.silent {
 		// The record says what the VM ran when it fell silent, and that it is
 		// given nothing; that has to change first.
 		v.recorded = false
@@ -322,9 +317,7 @@
 	v.silent, v.over = false, false
 	v.missed = 0
 	v.heard = now
-	if v.clockAt.IsZero() || r.Clock > v.at(now) {
-		v.clock, v.clockAt = r.Clock, now
-	} else if now.Sub(v.clockAt) > time.Second {
+	if v.clockAt.IsZero() || r.Clock > v.at(now) || now.Sub(v.clockAt) > time.Second {
 		v.clock, v.clockAt = r.Clock, now
 	}
 	for _, e := range r.Ended {
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -12,8 +12,6 @@
 	waveSpare = 0.25
 	// idleWait is how long a VM chosen for maintenance may finish its tasks.
 	idleWait = 2500 * time.Millisecond
-	// machineAgain is when an order for a machine is given once more.
-	machineAgain = 1500 * time.Millisecond
 	// waveAvoid is the cost of starting a task on a VM whose machine is due.
 	waveAvoid = 0.4
 )
@@ -30,15 +28,7 @@
 
 // take is one machine of a wave on its way.
 type take struct {
-	since time.Time
-	// ordered is when the maintenance was last ordered; zero means not yet.
-	ordered time.Time
-	// vm is the id of the VM that ran on the machine.
-	vm string
-	// unsure is set while an order without an answer may still be carried out.
-	unsure bool
-	// denied is when the platform last refused the order; zero means never.
-	denied time.Time
+	machineOrder
 }
 
 // setWaves takes the waves that are asked for.
@@ -64,46 +54,6 @@
 	}
 }
 
-// SetMachines replaces what the platform says of its machines.
-// The list was asked for at asked.
-func (c *Core) SetMachines(list []Machine, asked time.Time) {
-	c.listed = asked
-	c.machines = make(map[string]Machine, len(list))
-	c.runsOn = make(map[string]string, len(list))
-	for _, m := range list {
-		c.machines[m.Name] = m
-		if m.VM != "" {
-			c.runsOn[m.VM] = m.Name
-		}
-		if v := c.vms[m.VM]; v != nil {
-			v.machine = m.Name
-		}
-	}
-	for _, v := range c.vms {
-		if m, ok := c.machines[v.machine]; ok && m.VM != v.ID {
-			c.outlived(v, m, asked)
-		}
-	}
-}
-
-// outlived ends what ran on a VM that its machine does not run any more. Orders
-// without an answer may be carried out by a VM that comes back under the same id,
-// but not once the machine runs another one.
-func (c *Core) outlived(v *vm, m Machine, now time.Time) {
-	if !v.over {
-		c.config.Log.Info("VM over", "vm", v.ID, "machine", m.Name, "state", m.State, "runs", len(v.runs), "next", m.VM)
-		c.fleetChanged = true
-	}
-	v.over = true
-	for _, r := range v.list() {
-		if m.VM == "" && (r.state == sent || r.unsure) {
-			continue
-		}
-		c.ended(r, Lapsed, "", now)
-		c.fleetChanged = true
-	}
-}
-
 // Pressing reports whether the machines have to be looked at often, or now.
 func (c *Core) Pressing() bool {
 	if c.outdated {
@@ -126,10 +76,9 @@
 // WaveStates returns the waves that are asked for, in order.
 func (c *Core) WaveStates() []WaveState {
 	out := make([]WaveState, 0, len(c.waves))
-	for n, w := range c.waves {
-		out = append(out, WaveState{n, c.complete(w)})
+	for _, w := range c.sortedWaves() {
+		out = append(out, WaveState{w.Number, c.complete(w)})
 	}
-	slices.SortFunc(out, func(a, b WaveState) int { return cmp.Compare(a.Number, b.Number) })
 	return out
 }
 
@@ -158,7 +107,7 @@
 				break
 			}
 			m := c.machines[name]
-			w.taken[name] = &take{since: now, vm: m.VM}
+			w.taken[name] = &take{machineOrder{since: now, vm: m.VM}}
 			c.keep(m.VM, true)
 			c.config.Log.Info("machine taken for maintenance", "machine", name, "wave", w.Number, "vm", m.VM)
 			c.advance(w, now)
@@ -179,19 +128,7 @@
 }
 
 func (c *Core) sortedWaves() []*wave {
-	out := make([]*wave, 0, len(c.waves))
-	for _, w := range c.waves {
-		out = append(out, w)
-	}
-	slices.SortFunc(out, func(a, b *wave) int { return cmp.Compare(a.Number, b.Number) })
-	return out
-}
-
-// keep sets whether a VM is kept free of new tasks.
-func (c *Core) keep(id string, kept bool) {
-	if v := c.vms[id]; v != nil {
-		v.kept = kept
-	}
+	return sortedValues(c.waves, func(a, b *wave) int { return cmp.Compare(a.Number, b.Number) })
 }
 
 // nextMachine returns the machine of a wave that costs least to take now.
@@ -214,15 +151,6 @@
 	return best, found
 }
 
-func (c *Core) takenElsewhere(machine string) bool {
-	for _, w := range c.waves {
-		if w.taken[machine] != nil {
-			return true
-		}
-	}
-	return c.moves[machine] != nil
-}
-
 // takeCost is the work that a VM would lose, in thousandths of a core.
 func takeCost(v *vm) float64 {
 	if v == nil {
@@ -253,10 +181,10 @@
 			if c.mayTake(t, w, now) {
 				c.orderMaintenance(w, t, name, now)
 			}
-		case !t.denied.IsZero() && !t.unsure && c.listed.After(t.denied) && m.State == Up:
+		case t.refused(m, c.listed):
 			// It was busy for another reason, such as leaving.
 			c.giveBack(w, name)
-		case now.Sub(t.ordered) > machineAgain:
+		case t.overdue(now):
 			c.orderMaintenance(w, t, name, now)
 		}
 	}
@@ -388,33 +316,10 @@
 		return
 	}
 	t := w.taken[a.Machine]
-	switch r {
-	case MachineDone:
+	if t.accepted(r, now) {
 		t.ordered = now
 		w.begun[a.Machine] = true
 		c.fleetChanged = true
 		c.depart(t.vm, now)
-	case MachineUnanswered:
-		t.unsure = true
-	case MachineBusy, MachineWrong:
-		t.denied = now
-	case MachineRefused, MachineFenced:
 	}
 }
-
-// MachineResult is what came of an order for a machine.
-type MachineResult int
-
-// The results of orders for machines.
-const (
-	MachineDone MachineResult = iota
-	MachineBusy
-	MachineWrong
-	MachineFenced
-	MachineUnanswered
-	MachineRefused
-)
-
-var machineResults = [...]string{"done", "busy", "wrong", "fenced", "unanswered", "refused"}
-
-func (r MachineResult) String() string { return machineResults[r] }
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -19,7 +19,6 @@
 	mu       sync.Mutex
 	machines map[string]*machine
 	lives    int
-	lists    int
 	// away is the number of machines that are in maintenance, by wave.
 	away     map[int64]int
 	breaches []string
@@ -60,13 +59,6 @@
 	m.arrive(m.machines[at.Name])
 }
 
-// Lists returns how often the machines were listed.
-func (m *Machines) Lists() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.lists
-}
-
 // Pool returns the number of machines of a pool that are up.
 func (m *Machines) Pool(name string) int {
 	m.mu.Lock()
@@ -91,7 +83,6 @@
 func (m *Machines) List(context.Context) ([]schedule.Machine, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lists++
 	out := make([]schedule.Machine, 0, len(m.machines))
 	for _, at := range m.machines {
 		out = append(out, at.Machine)
@@ -104,14 +95,9 @@
 func (m *Machines) Move(_ context.Context, token int64, a schedule.Move) schedule.MachineResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at, result := m.accept(a.Machine, token)
-	switch {
-	case result != schedule.MachineDone:
+	at, result := m.accept(a.Machine, token, func(at *machine) bool { return at.Pool == a.Pool })
+	if at == nil {
 		return result
-	case at.Pool == a.Pool:
-		return schedule.MachineDone
-	case at.State != schedule.Up:
-		return schedule.MachineBusy
 	}
 	m.take(at, schedule.Moving)
 	at.Pool = a.Pool
@@ -123,14 +109,9 @@
 func (m *Machines) Maintain(_ context.Context, token int64, a schedule.Maintain) schedule.MachineResult {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	at, result := m.accept(a.Machine, token)
-	switch {
-	case result != schedule.MachineDone:
+	at, result := m.accept(a.Machine, token, func(at *machine) bool { return at.maintained[a.Wave] })
+	if at == nil {
 		return result
-	case at.maintained[a.Wave]:
-		return schedule.MachineDone
-	case at.State != schedule.Up:
-		return schedule.MachineBusy
 	}
 	if m.away[a.Wave] >= m.config.Most[a.Wave] {
 		m.breaches = append(m.breaches, fmt.Sprintf("%s goes to maintenance beyond the bound of wave %d", a.Machine, a.Wave))
@@ -147,7 +128,11 @@
 	return schedule.MachineDone
 }
 
-func (m *Machines) accept(name string, token int64) (*machine, schedule.MachineResult) {
+// accept returns the machine that an order takes away, or nil with the result of
+// one that changes nothing; done reports whether it was carried out before.
+func (m *Machines) accept(
+	name string, token int64, done func(*machine) bool,
+) (*machine, schedule.MachineResult) {
 	at := m.machines[name]
 	if at == nil {
 		return nil, schedule.MachineWrong
@@ -156,6 +141,12 @@
 		return nil, schedule.MachineFenced
 	}
 	at.token = token
+	switch {
+	case done(at):
+		return nil, schedule.MachineDone
+	case at.State != schedule.Up:
+		return nil, schedule.MachineBusy
+	}
 	return at, schedule.MachineDone
 }
 
