Report a relayed commit without an answer as uncertain

Cause: a direct call that could not be sent is followed by one through another entry. If that one got no answer, the caller heard of the direct attempt only, "no effect", although the relayed transaction may have been carried out. The ledger then told callers that their job had not been accepted.

Change: the second attempt's error counts unless it had no effect.

Measured: TestRelayedCommit fails before ("answer lost") and passes after.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -104,10 +104,11 @@
 	if relaying || !noEffect(err) && name == callCommit || ctx.Err() != nil {
 		return out, err
 	}
-	if out, relayErr := r.callViaPeer(ctx, name, req); relayErr == nil || isStoreAnswer(relayErr) {
-		return out, relayErr
+	relayed, relayErr := r.callViaPeer(ctx, name, req)
+	if relayErr != nil && noEffect(relayErr) {
+		return out, err
 	}
-	return out, err
+	return relayed, relayErr
 }
 
 // directTimeout is the time limit of one attempt at a call other than a range. It
--- /dev/null
+++ b/peer/relay_test.go
@@ -0,0 +1,100 @@
+package peer_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/onsi/gomega"
+	"google.golang.org/grpc"
+
+	"almondcove/peer"
+	"almondcove/standin"
+	"almondcove/store"
+)
+
+// unreachableStore is a store to which no call can be sent.
+type unreachableStore struct {
+	store.Store
+}
+
+func (unreachableStore) Commit(context.Context, store.Txn) (int64, error) {
+	return 0, &store.Unavailable{Call: "commit", Cause: net.ErrClosed}
+}
+
+func (unreachableStore) Get(_ context.Context, key string) (store.Item, error) {
+	return store.Item{Key: key}, &store.Unavailable{Call: "get", Cause: net.ErrClosed}
+}
+
+// silentStore is a store that carries out commits and does not answer them.
+type silentStore struct {
+	store.Store
+}
+
+func (s silentStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	if _, err := s.Store.Commit(ctx, t); err != nil {
+		return 0, err
+	}
+	<-ctx.Done()
+	return 0, &store.Uncertain{Call: "commit", Cause: ctx.Err()}
+}
+
+// relayHost is an entry that only relays calls to the store.
+type relayHost struct {
+	peer.JobHost
+	store store.Store
+}
+
+func (h relayHost) Store() store.Store { return h.store }
+
+// startRelay starts an entry that relays calls to a store, and returns a relay whose
+// own calls to the store can't be sent.
+func startRelay(t *testing.T, s store.Store) *peer.Relay {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	peer.RegisterJobs(server, relayHost{store: s})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	links := peer.NewJobLinks((&net.Dialer{}).DialContext)
+	t.Cleanup(links.Close)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	return peer.NewRelay(peer.RelayConfig{
+		Direct: unreachableStore{}, Links: links, Peers: func() []netip.AddrPort { return []netip.AddrPort{address} },
+	})
+}
+
+// TestRelayedCommit guards against a commit that is reported as having had no effect
+// although another entry, after the direct attempt failed, has passed it on.
+func TestRelayedCommit(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		losesAnswers bool
+	}{{"answered", false}, {"answer lost", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			kv := standin.NewKeyValue()
+			r := startRelay(t, kv)
+			if c.losesAnswers {
+				r = startRelay(t, silentStore{kv})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			_, err := r.Commit(ctx, store.Txn{Puts: []store.Put{{Key: "k", Value: []byte("v")}}})
+			if c.losesAnswers {
+				uncertain, _ := errors.Into[*store.Uncertain](err)
+				g.Expect(uncertain).NotTo(gomega.BeNil(), "%v", err)
+			} else {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			it, err := kv.Get(ctx, "k")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(it.Value).To(gomega.Equal([]byte("v")), "the relayed commit took effect")
+		})
+	}
+}
