Keep a commit within the term in which it was begun

Cause: a commit that is retried took whatever tail was current. After an outage in which another entry had owned the jobs and this process was elected again, it wrote its old batch over newer records. The outcome of an attempt was also taken from the count of commits alone, which another owner's commit raises as well. A job with a time that JSON can't represent (a caller's firstMs) failed the whole commit, with the jobs of others.

Change: a commit of an earlier epoch is not sent again and ends as Unsettled with TermEnded; the outcome needs the same epoch; a batch that can't be encoded is Unwritten; job.Check bounds the times.

Measured: TestCommitOfAnEarlierTerm and TestCheckTimes fail before (the batch is written; "far future" is accepted) and pass after.

--- a/job/job.go
+++ b/job/job.go
@@ -32,6 +32,11 @@
 	MaxSteps = 1000
 	// MaxOccurrences limits the occurrences of a job.
 	MaxOccurrences = 10000
+	// MaxSpan limits the time between the first and the last occurrence of a job.
+	MaxSpan = 100 * 365 * 24 * time.Hour
+	// MaxYear limits the year of [Job.FirstDue]. JSON can't represent times after the
+	// year 9999, which the last occurrence may reach MaxSpan later.
+	MaxYear = 9800
 )
 
 // ID identifies a job; callers choose it.
@@ -211,8 +216,10 @@
 		return &Invalid{"steps", fmt.Sprintf("expected 1 to %d", MaxSteps)}
 	case j.ScheduledOccurrences < 0 || j.ScheduledOccurrences > MaxOccurrences:
 		return &Invalid{"times", fmt.Sprintf("expected 0 to %d", MaxOccurrences)}
-	case j.ScheduledOccurrences > 1 && j.Interval <= 0:
-		return &Invalid{"every", "expected more than zero"}
+	case j.ScheduledOccurrences > 1 && (j.Interval <= 0 || j.Interval > MaxSpan/time.Duration(j.ScheduledOccurrences)):
+		return &Invalid{"every", "expected more than zero and all occurrences within " + MaxSpan.String()}
+	case j.FirstDue.Year() < 0 || j.FirstDue.Year() > MaxYear:
+		return &Invalid{"first", fmt.Sprintf("expected a year from 0 to %d", MaxYear)}
 	}
 	tasks := 0
 	for i := range j.Steps {
--- /dev/null
+++ b/job/job_test.go
@@ -0,0 +1,52 @@
+package job_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/onsi/gomega"
+
+	"almondcove/job"
+)
+
+// TestCheckTimes guards against jobs whose times can't be recorded. A commit that
+// contains such a job fails as a whole, with the jobs of other callers.
+func TestCheckTimes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		times    int
+		first    time.Time
+		interval time.Duration
+		field    string
+	}{
+		{"once", 0, time.Time{}, 0, ""},
+		{"daily", 365, time.Unix(1_800_000_000, 0), 24 * time.Hour, ""},
+		{"no interval", 2, time.Unix(1_800_000_000, 0), 0, "every"},
+		{"longest span", 2, time.Unix(1_800_000_000, 0), job.MaxSpan / 2, ""},
+		{"span too long", 10000, time.Unix(1_800_000_000, 0), job.MaxSpan / 2, "every"},
+		{"last year", 1, time.Date(job.MaxYear, 12, 31, 0, 0, 0, 0, time.UTC), 0, ""},
+		{"far future", 1, time.UnixMilli(900_000_000_000_000), 0, "first"},
+		{"far past", 1, time.UnixMilli(-900_000_000_000_000), 0, "first"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			j := &job.Job{
+				ID: "1", Steps: []job.Step{{Count: 1}}, ScheduledOccurrences: c.times, FirstDue: c.first, Interval: c.interval,
+			}
+			err := j.Check()
+			if c.field != "" {
+				invalid, _ := errors.Into[*job.Invalid](err)
+				g.Expect(invalid).NotTo(gomega.BeNil())
+				g.Expect(invalid.Field).To(gomega.Equal(c.field))
+				return
+			}
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = json.Marshal(j)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = json.Marshal(j.Due(j.Occurrences() - 1))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -106,6 +107,15 @@
 	l.tail = tail
 }
 
+// advanceTail sets the tail that a commit has left, unless a later term has begun.
+func (l *Ledger) advanceTail(tail StoredTail) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tail.Epoch == tail.Epoch {
+		l.tail = tail
+	}
+}
+
 func (l *Ledger) currentTail() StoredTail {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -161,13 +171,13 @@
 
 func (e *Deposed) Error() string { return "ledger: owned by " + e.Tail.Run }
 
-// Unwritten reports a commit that the store refused until the retries ended. Nothing
-// was written.
+// Unwritten reports a commit that was not sent, or that the store refused until the
+// retries ended. Nothing was written.
 type Unwritten struct {
 	Cause error
 }
 
-func (e *Unwritten) Error() string { return "ledger: commit refused by the store: " + e.Cause.Error() }
+func (e *Unwritten) Error() string { return "ledger: commit not written: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
 func (e *Unwritten) Unwrap() error { return e.Cause }
@@ -182,27 +192,37 @@
 // Unwrap returns the cause.
 func (e *Unsettled) Unwrap() error { return e.Cause }
 
+// TermEnded reports that the term in which a commit began has ended.
+type TermEnded struct {
+	Epoch int64
+}
+
+func (e *TermEnded) Error() string {
+	return "ledger: term of epoch " + strconv.FormatInt(e.Epoch, 10) + " has ended"
+}
+
 // Commit writes a batch. It retries until the outcome is known or ctx ends.
 //
-// After [*Unwritten], nothing was written and the ledger remains usable. If ctx ends
-// while the outcome is unknown, the error is [*Unsettled] and nothing else may be
-// committed. After [*Deposed], the last attempt did not write the batch, but an
-// earlier attempt whose answer was lost may have.
+// After [*Unwritten], nothing was written and the ledger remains usable. If ctx or the
+// term ends while the outcome is unknown, the error is [*Unsettled], and nothing else
+// may be committed in that term. After [*Deposed], the last attempt did not write the
+// batch, but an earlier attempt whose answer was lost may have.
 func (l *Ledger) Commit(ctx context.Context, b Batch) error {
 	if b.Size() == 0 {
 		return nil
 	}
 	puts, err := l.encodePuts(b)
 	if err != nil {
-		return err
+		return &Unwritten{Cause: err}
 	}
+	epoch := l.currentTail().Epoch
 	pause := initialBackoff
 	// allRefused is set while the store has refused every attempt, so that none can
 	// have taken effect.
 	allRefused := true
 	began := time.Now()
 	for {
-		done, err := l.attemptCommit(ctx, puts, b)
+		done, err := l.attemptCommit(ctx, epoch, puts, b)
 		if refused, ok := errors.Into[*store.Unavailable](err); ok {
 			if allRefused && time.Since(began) > refusedTimeout {
 				return &Unwritten{Cause: refused}
@@ -223,16 +243,20 @@
 
 // attemptCommit sends the batch once and reports whether it is now written. If it is
 // not, Commit may try again after a nil error or a [*store.Unavailable]; every other
-// error is final.
-func (l *Ledger) attemptCommit(ctx context.Context, puts []store.Put, b Batch) (bool, error) {
+// error is final. A batch of an earlier epoch is not sent: another owner may have
+// written newer records since.
+func (l *Ledger) attemptCommit(ctx context.Context, epoch int64, puts []store.Put, b Batch) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	currentTail := l.currentTail()
+	if currentTail.Epoch != epoch {
+		return false, &Unsettled{Cause: &TermEnded{Epoch: epoch}}
+	}
 	next := currentTail.Tail
 	next.Count++
 	rev, err := l.config.Store.Commit(ctx, l.commitTxn(currentTail, next, puts, b))
 	if err == nil {
-		l.SetTail(StoredTail{next, rev})
+		l.advanceTail(StoredTail{next, rev})
 		return true, nil
 	}
 	l.config.AttemptFailed(err)
@@ -266,13 +290,13 @@
 		}
 	}
 	switch {
-	case found.Run != l.config.Run:
+	case found.Run != l.config.Run || found.Epoch != next.Epoch:
 		return false, &Deposed{found}
 	case found.Count == next.Count:
-		l.SetTail(StoredTail{found, item.Rev})
+		l.advanceTail(StoredTail{found, item.Rev})
 		return true, nil
 	case found.Count == next.Count-1:
-		l.SetTail(StoredTail{found, item.Rev})
+		l.advanceTail(StoredTail{found, item.Rev})
 		return false, nil
 	}
 	return false, &Deposed{found}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,6 +120,54 @@
 	})
 }
 
+// brokenLink is a store whose calls get no answer and have no effect while it is broken.
+type brokenLink struct {
+	store.Store
+	broken atomic.Bool
+}
+
+func (l *brokenLink) Get(ctx context.Context, key string) (store.Item, error) {
+	if l.broken.Load() {
+		return store.Item{}, &store.Uncertain{Call: "get", Cause: context.DeadlineExceeded}
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *brokenLink) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	if l.broken.Load() {
+		return 0, &store.Uncertain{Call: "commit", Cause: context.DeadlineExceeded}
+	}
+	return l.Store.Commit(ctx, t)
+}
+
+// TestCommitOfAnEarlierTerm guards against a batch that is written under the tail of a
+// later term of the same process. Another process has owned the ledger in between, so
+// the batch may be older than what is recorded.
+func TestCommitOfAnEarlierTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		link := &brokenLink{Store: k}
+		link.broken.Store(true)
+		l := ledger.New(ledger.Config{Store: link, Prefix: prefix, Run: "a"})
+		l.SetTail(writeTail(k, "a", 1))
+		failed := make(chan error, 1)
+		go func() { failed <- l.Commit(t.Context(), batchOf("1")) }()
+		time.Sleep(500 * time.Millisecond)
+		other := newLedger(k, "b", 2)
+		g.Expect(other.Commit(t.Context(), batchOf("2"))).To(gomega.Succeed())
+		l.SetTail(writeTail(k, "a", 3))
+		link.broken.Store(false)
+		err := <-failed
+		unsettled, _ := errors.Into[*ledger.Unsettled](err)
+		ended, _ := errors.Into[*ledger.TermEnded](err)
+		g.Expect(unsettled).NotTo(gomega.BeNil())
+		g.Expect(ended).NotTo(gomega.BeNil())
+		g.Expect(loadIDs(g, l)).To(gomega.Equal([]job.ID{"2"}))
+		g.Expect(l.Commit(t.Context(), batchOf("3"))).To(gomega.Succeed())
+	})
+}
+
 // TestState guards against loss of task results when an owner reloads the state
 // of a job, such as completed tasks and counted failures.
 func TestState(t *testing.T) {
