List runs with unrecorded ends in the record of the fleet

Cause: when an owner leaves while the store is slow, its record of the fleet, which says exactly what each VM may run, could be written before the states of jobs whose tasks had just ended. If the owner's time was up in between, the next owner took these tasks for neither running nor done and started them again before their VM had answered.

Ruled out: late reports, and commits of an earlier term.

Change: a place in that record also lists the runs whose ends are not recorded.

Measured: TestUnrecordedEndAtHandover fails before ("ended as done and was started again") and passes after.

--- a/schedule/record.go
+++ b/schedule/record.go
@@ -78,11 +78,10 @@
 	return out, nil
 }
 
-// unrecordedEnd is the number of an end that its VM must not forget yet, and the job
-// whose state records it.
+// unrecordedEnd is an end that is not recorded yet, so that its VM must not forget it.
 type unrecordedEnd struct {
 	number int64
-	job    job.ID
+	run    Run
 }
 
 // forgettableEnds returns the last end that each VM may forget once every batch taken so
@@ -91,7 +90,7 @@
 	out := make(map[*vm]endPosition)
 	for _, v := range c.vms {
 		n := 0
-		for n < len(v.unrecordedEnds) && c.dirty[v.unrecordedEnds[n].job] == nil {
+		for n < len(v.unrecordedEnds) && c.dirty[v.unrecordedEnds[n].run.Task.Job] == nil {
 			n++
 		}
 		if n > 0 {
@@ -183,7 +182,8 @@
 	// answer, because it gets no new runs and no lease renewal, and for every VM during a
 	// handover.
 	Exact bool `json:"exact,omitempty"`
-	// Held lists the runs that may exist on the VM. It is empty unless Exact is set.
+	// Held lists the runs that may exist on the VM, and those whose ends may not be
+	// recorded. It is empty unless Exact is set.
 	Held []Run `json:"held,omitempty"`
 	// Left is the longest time that the runs in Held may continue after the record was
 	// made.
@@ -202,6 +202,11 @@
 			for _, r := range v.sortedRuns() {
 				place.Held = append(place.Held, r.id)
 			}
+			// The next owner must not start these tasks again before the VM has told it
+			// of their ends, unless a record does.
+			for _, e := range v.unrecordedEnds {
+				place.Held = append(place.Held, e.run)
+			}
 			place.Left = max(v.leaseEnd.Sub(now), 0)
 		}
 		out.VMs = append(out.VMs, place)
--- a/schedule/record_test.go
+++ b/schedule/record_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/job"
+	"almondcove/standin"
 )
 
 // TestEndsAreSeenBeforeAllIsRecorded guards against VMs that keep ends for too long. A VM
@@ -41,3 +42,32 @@
 	g.Expect(seen).To(gomega.Equal(len(r.States)))
 	g.Expect(seen).To(gomega.BeNumerically(">", 0))
 }
+
+// TestUnrecordedEndAtHandover guards against a second start of a task that is done. The
+// previous owner has read the end, but recorded only the fleet before it left, and the
+// VM answers the next owner late.
+func TestUnrecordedEndAtHandover(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.submit(batch("1", 1))
+	h.step(50 * time.Millisecond)
+	g.Expect(h.starts).To(gomega.HaveLen(1))
+	ran := h.vms[h.starts[0].VM]
+	h.now = h.now.Add(2 * time.Second)
+	for _, id := range h.vmIDs() {
+		h.vms[id].Advance(h.now)
+		h.hold(id)
+	}
+	h.core.BeginHandover()
+	r, err := h.core.TakeRecords(0, h.now)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	h.recordedFleet = *r.Fleet
+	h.changeOwner()
+	ran.SetFault(standin.WorkerDropsOrders)
+	h.run(time.Second)
+	ran.SetFault(standin.WorkerHealthy)
+	h.run(2 * time.Second)
+	g.Expect(h.starts).To(gomega.HaveLen(1))
+	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
+}
