Close the gaps between elections, pledges and the ends of terms

Causes, found by reading: - a restarted entry waited for the pledges of its previous process only while the store named another owner, but that key lapses with the store while the owner goes on by pledges; - an owner counted the pledges of the entries that it knew; one that had registered since could be elected beside it; - an entry pledged while its own election was on its way to the store; - the end of a term was reported without its epoch, so that it could end a later term, or come before the beginning of its own; - requests that waited for a commit were not woken when the core had been replaced or the term had ended; after an error of encoding, accepted jobs got no answer.

Change: a new process waits for 2 s unless it is the owner's or there was no owner when it registered; pledges name the entries that their givers know, and callers count as known; an election whose outcome is open excludes pledges; Deposed takes the epoch; waiters are woken in all cases; a commit that can't be encoded is answered as not written.

An entry that is new, reaches the store and reaches no other entry can still be elected beside an owner that acts by pledges; the VMs' fences and the tail then decide.

--- a/jobs/host.go
+++ b/jobs/host.go
@@ -41,13 +41,16 @@
 	n.mu.Lock()
 	n.lastContact[status.Name] = time.Now()
 	n.mu.Unlock()
+	n.shard.ObserveEntries(status.Name)
 	for _, other := range n.shard.Peers() {
 		if other.Name == status.Name {
 			n.wg.Go(func() { n.applyStatus(status, other.Address) })
 		}
 	}
 	reply := n.ownStatus()
-	reply.Pledge = status.RequestsPledge && n.shard.GivePledge(status.Owner)
+	if status.RequestsPledge && n.shard.GivePledge(status.Owner) {
+		reply.Pledge, reply.Members = true, n.shard.MemberNames()
+	}
 	return reply
 }
 
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -321,6 +321,7 @@
 			return
 		}
 		if reply.Pledge {
+			n.shard.ObserveEntries(reply.Members...)
 			n.shard.RecordPledge(reply.Name, sentAt)
 		}
 		if o, ok := n.shard.Owner(); ok && o.Run == reply.Run {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -122,6 +122,8 @@
 	// term is that of the last election won. The result of a recovery for an earlier
 	// term is dropped.
 	term shard.Term
+	// endedEpoch is the highest epoch whose term has ended.
+	endedEpoch int64
 	// view is the operators' configuration. It is valid while configured is set.
 	view       schedule.View
 	configured bool
--- a/owner/record.go
+++ b/owner/record.go
@@ -212,6 +212,8 @@
 
 // pendingCommit is the content of one commit, and what its result is applied to.
 type pendingCommit struct {
+	// epoch is that of the term in which the commit was begun.
+	epoch int64
 	batch ledger.Batch
 	// recorded holds the core's changes that the batch contains in encoded form.
 	recorded schedule.RecordBatch
@@ -234,11 +236,10 @@
 		o.commitStartedAt = time.Now()
 	}
 	o.mu.Unlock()
-	if err != nil {
-		o.config.Log.Error("failed to encode records", "error", err)
-		return false
-	}
-	if commit.batch.Size() > 0 {
+	switch {
+	case err != nil:
+		err = &ledger.Unwritten{Cause: err}
+	case commit.batch.Size() > 0:
 		began := time.Now()
 		err = o.config.Ledger.Commit(o.ctx, commit.batch)
 		o.config.Committed(time.Since(began), err)
@@ -254,7 +255,7 @@
 // half of it, which leaves room for changed states, and one key is reserved for the
 // record of the fleet. The caller holds o.mu.
 func (o *Owner) prepareCommit() (pendingCommit, error) {
-	var commit pendingCommit
+	commit := pendingCommit{epoch: o.term.Epoch}
 	n := min(len(o.commitQueue), ledger.MaxBatchSize/2)
 	commit.accepted = append(commit.accepted, o.commitQueue[:n]...)
 	o.commitQueue = o.commitQueue[n:]
@@ -282,8 +283,9 @@
 
 // finishCommit applies the result of a commit: it answers the acceptances, updates
 // the core and wakes the waiting requests. If the commit succeeded but the core has
-// been replaced, it only answers the acceptances. The caller holds o.mu.
+// been replaced, it leaves the core as it is. The caller holds o.mu.
 func (o *Owner) finishCommit(core *schedule.Core, commit pendingCommit, err error) {
+	defer o.wakeWaiters()
 	if err != nil {
 		o.config.Log.Warn("failed to write records", "keys", commit.batch.Size(), "error", err)
 		answer := Answer{Outcome: Unsettled, Retry: retryAfterOwnerChange, Reason: err.Error()}
@@ -295,13 +297,12 @@
 		for _, a := range commit.accepted {
 			o.respond(a, answer)
 		}
-		if _, ok := errors.Into[*ledger.Deposed](err); ok {
+		if _, ok := errors.Into[*ledger.Deposed](err); ok && o.term.Epoch == commit.epoch {
 			o.active = false
 		}
 		if o.core == core {
 			core.CommitFailed(commit.recorded)
 		}
-		o.wakeWaiters()
 		return
 	}
 	if o.core != core {
@@ -319,13 +320,14 @@
 			"epoch", a.job.Epoch, "waited", now.Sub(a.job.Accepted).Milliseconds())
 		o.respond(a, Answer{Outcome: Done})
 	}
-	o.wakeWaiters()
 	wake(o.planWake)
 	if len(o.commitQueue) > 0 || core.Unrecorded() {
 		wake(o.commitWake)
 	}
 }
 
+// wakeWaiters wakes the requests that wait for the end of a commit. The caller holds
+// o.mu.
 func (o *Owner) wakeWaiters() {
 	for _, w := range o.waiters {
 		close(w.done)
--- a/owner/term.go
+++ b/owner/term.go
@@ -13,10 +13,14 @@
 )
 
 // Elected begins a new term. After a reelection the owner continues with its state
-// in memory. Otherwise it first reads the records, in the background.
+// in memory. Otherwise it first reads the records, in the background. A term that
+// [Owner.Deposed] has already ended does not begin.
 func (o *Owner) Elected(t shard.Term) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if t.Epoch <= o.endedEpoch {
+		return
+	}
 	o.term = t
 	o.config.Ledger.SetTail(t.Tail)
 	if t.Reelected && o.core != nil {
@@ -34,11 +38,16 @@
 	o.done.Go(func() { o.recoverRecords(t) })
 }
 
-// Deposed stops the owner from acting and refuses the jobs that are not yet part of
-// a commit.
-func (o *Owner) Deposed() {
+// Deposed ends the term of an epoch: it stops the owner from acting and refuses the
+// jobs that are not yet part of a commit. It does nothing if a later term has begun.
+func (o *Owner) Deposed(epoch int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.endedEpoch = max(o.endedEpoch, epoch)
+	if o.term.Epoch > epoch {
+		return
+	}
+	defer o.wakeWaiters()
 	o.active = false
 	o.listed = false
 	for _, a := range o.commitQueue {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -53,6 +53,8 @@
 	// Pledge is set in an answer that promises not to stand for election for
 	// [shard.PledgeDuration].
 	Pledge bool
+	// Members names the registered entries that the entry knows. It is set with Pledge.
+	Members []string
 }
 
 // JobHost is the entry that answers the calls about jobs. Its methods must be safe
@@ -291,7 +293,7 @@
 func decodeEntryStatus(s *wire.MemberState) (EntryStatus, error) {
 	out := EntryStatus{
 		Name: s.GetName(), Run: s.GetRun(), Revision: s.GetRevision(), ReachesStore: s.GetReaches(),
-		RequestsPledge: s.GetAsk(), Pledge: s.GetPledge(),
+		RequestsPledge: s.GetAsk(), Pledge: s.GetPledge(), Members: s.GetMembers(),
 	}
 	if len(s.GetOwner()) > 0 {
 		if err := json.Unmarshal(s.GetOwner(), &out.Owner); err != nil {
--- a/shard/election.go
+++ b/shard/election.go
@@ -60,15 +60,21 @@
 func (s *Shard) eligible() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.eligibleLocked()
+}
+
+// eligibleLocked is eligible for a caller that holds s.mu.
+func (s *Shard) eligibleLocked() bool {
 	if s.leaving || s.lease == 0 || s.isOwner {
 		return false
 	}
 	now := s.config.Clock()
 	// A previous process of this entry may have given a pledge that this process does
-	// not know. While another entry is the known owner, a new process therefore does
-	// not campaign until such a pledge has expired.
+	// not know. A new process therefore does not campaign until such a pledge has
+	// expired, unless its previous process was the owner itself, or there was no owner.
 	namesSelf := s.owner.Name == s.config.Self.Name
-	if now < s.pledgedUntil || now-s.startedAt < PledgeDuration && s.owner.Name != "" && !namesSelf {
+	mayHavePledged := s.ownedBefore && now-s.startedAt < PledgeDuration && !namesSelf
+	if now < s.pledgedUntil || mayHavePledged {
 		return false
 	}
 	// After a step-down the other entries are to be elected first.
@@ -104,13 +110,21 @@
 		Epoch:     max(lastTail.Epoch, knownOwner.Epoch) + 1,
 		Reelected: lastTail.Run == s.config.Self.Run,
 	}
+	begun, inDoubt := s.beginElection(term.Epoch)
+	if !begun {
+		return nil
+	}
 	newTail := ledger.Tail{Run: s.config.Self.Run, Epoch: term.Epoch, Count: lastTail.Count}
 	sent := s.config.Clock()
 	rev, err := s.config.Store.Commit(ctx, s.electionTxn(ownerItem, tailItem, newTail, lease))
 	if _, ok := errors.Into[*store.Conflict](err); ok {
+		s.endElection()
 		return nil
 	}
 	if err != nil {
+		if _, ok := errors.Into[*store.Unavailable](err); ok && !inDoubt {
+			s.endElection()
+		}
 		return err
 	}
 	term.Tail = ledger.StoredTail{Tail: newTail, Rev: rev}
@@ -118,6 +132,28 @@
 	return nil
 }
 
+// beginElection reports whether this entry may still campaign, now that the records
+// have been read. If so, it gives no pledge until the outcome of the election is known.
+// inDoubt is set if the outcome of an earlier election is not.
+func (s *Shard) beginElection(epoch int64) (begun, inDoubt bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.eligibleLocked() {
+		return false, false
+	}
+	inDoubt = s.candidateEpoch != 0
+	s.candidateEpoch = epoch
+	return true, inDoubt
+}
+
+// endElection records that no transaction of an election by this entry can take effect
+// any more.
+func (s *Shard) endElection() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.candidateEpoch = 0
+}
+
 // mayReplace reports whether an election may overwrite the given owner key: it must
 // be missing, undecodable, or name this entry or a process that has ended.
 func (s *Shard) mayReplace(ownerItem store.Item, deadRun string) bool {
@@ -164,6 +200,8 @@
 func (s *Shard) becomeOwner(term Term, sent time.Duration) {
 	s.mu.Lock()
 	s.isOwner = true
+	s.candidateEpoch = 0
+	s.ownEpoch = term.Epoch
 	s.confirmedAt = sent
 	s.deadRun = ""
 	s.setOwner(Owner{Member: s.config.Self, Epoch: term.Epoch}, term.Tail.Rev)
--- a/shard/pledge.go
+++ b/shard/pledge.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -23,17 +25,42 @@
 // caller holds s.mu.
 func (s *Shard) allPledged(now time.Duration) bool {
 	for name := range s.members {
-		if name == s.config.Self.Name {
-			continue
+		if !s.pledged(name, now) {
+			return false
 		}
-		requestedAt, ok := s.pledges[name]
-		if !ok || now-requestedAt >= PledgeDuration-safetyMargin {
+	}
+	for name, at := range s.reported {
+		if now-at < PledgeDuration && !s.pledged(name, now) {
 			return false
 		}
 	}
 	return len(s.members) > 1
 }
 
+// pledged reports whether an entry can't campaign because of its pledge. This entry
+// needs none. The caller holds s.mu.
+func (s *Shard) pledged(name string, now time.Duration) bool {
+	requestedAt, ok := s.pledges[name]
+	return name == s.config.Self.Name || ok && now-requestedAt < PledgeDuration-safetyMargin
+}
+
+// ObserveEntries records that the named entries may be registered, although this entry
+// may not have read their registrations.
+func (s *Shard) ObserveEntries(names ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range names {
+		s.reported[name] = s.config.Clock()
+	}
+}
+
+// MemberNames returns the names of the registered entries.
+func (s *Shard) MemberNames() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.members))
+}
+
 // NeedsPledges reports whether this entry is the owner and has to request pledges,
 // because its last lease renewal or the last confirmation of its ownership is older
 // than requestPledgesAfter.
@@ -45,11 +72,11 @@
 
 // GivePledge promises the owner o that this entry does not campaign for
 // [PledgeDuration]. It returns false, and promises nothing, if this entry is itself
-// the owner or knows of an owner with a higher epoch.
+// the owner, may be about to become it, or knows of an owner with a higher epoch.
 func (s *Shard) GivePledge(o Owner) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isOwner || o.Epoch < s.owner.Epoch {
+	if s.isOwner || s.candidateEpoch != 0 || o.Epoch < s.owner.Epoch {
 		return false
 	}
 	s.pledgedUntil = s.config.Clock() + PledgeDuration
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -81,9 +81,31 @@
 	return nil
 }
 
+// readOwnedBefore finds out, once in the life of the process, whether the jobs have had
+// an owner.
+func (s *Shard) readOwnedBefore(ctx context.Context) error {
+	s.mu.Lock()
+	known := s.tailRead
+	s.mu.Unlock()
+	if known {
+		return nil
+	}
+	item, _, err := s.readTail(ctx)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ownedBefore, s.tailRead = item.Rev != 0, true
+	return nil
+}
+
 // register writes this entry's registration under a new lease and reads those of
 // the other entries.
 func (s *Shard) register(ctx context.Context) error {
+	if err := s.readOwnedBefore(ctx); err != nil {
+		return err
+	}
 	sent := s.config.Clock()
 	lease, _, err := s.config.Store.GrantLease(ctx, TTL)
 	if err != nil {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -99,10 +99,11 @@
 	Self Member
 	// Clock is a monotonic clock that keeps counting while the machine is suspended.
 	Clock func() time.Duration
-	// Elected is called after this entry becomes the owner, and Deposed after it
-	// loses ownership. Neither may block.
+	// Elected is called after this entry becomes the owner, and Deposed, with the epoch
+	// of that term, after it loses ownership. They may be called in either order, and
+	// neither may block.
 	Elected func(Term)
-	Deposed func()
+	Deposed func(epoch int64)
 	Log     hclog.Logger
 }
 
@@ -134,6 +135,8 @@
 	members map[string]Member
 	// isOwner is set from a won election until the ownership is lost.
 	isOwner bool
+	// ownEpoch is the epoch of the last election that this process has won.
+	ownEpoch int64
 	// steppedDownAt is when this entry last stepped down; zero means never.
 	steppedDownAt time.Duration
 	// leaving is set by Deregister.
@@ -145,6 +148,15 @@
 	// pledges holds, for each entry that has given a pledge, when the request for
 	// it was sent.
 	pledges map[string]time.Duration
+	// reported holds, by name, when each other entry last called this one or was named
+	// with a pledge. It may have registered while this entry can't reach the store.
+	reported map[string]time.Duration
+	// candidateEpoch is the epoch of an election of this entry whose transaction may still
+	// take effect; zero means none.
+	candidateEpoch int64
+	// ownedBefore reports whether the jobs had an owner before this process registered.
+	// It is valid while tailRead is set.
+	ownedBefore, tailRead bool
 	// deadRun is the Run of a process that is known to have ended; see [Shard.MarkDead].
 	deadRun string
 }
@@ -155,6 +167,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Shard{config: c, ctx: ctx, cancel: cancel, electionTrigger: make(chan struct{}, 1), members: make(map[string]Member)}
 	s.pledges = make(map[string]time.Duration)
+	s.reported = make(map[string]time.Duration)
 	s.startedAt = c.Clock()
 	s.done.Go(s.registrationLoop)
 	s.done.Go(s.watchLoop)
@@ -248,12 +261,12 @@
 // calls Config.Deposed.
 func (s *Shard) loseOwnership(reason string) {
 	s.mu.Lock()
-	wasOwner := s.isOwner
+	wasOwner, epoch := s.isOwner, s.ownEpoch
 	s.isOwner = false
 	s.mu.Unlock()
 	if wasOwner {
-		s.config.Log.Info("ownership lost", "reason", reason)
-		s.config.Deposed()
+		s.config.Log.Info("ownership lost", "reason", reason, "epoch", epoch)
+		s.config.Deposed(epoch)
 	}
 }
 
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,7 +1,9 @@
 package shard_test
 
 import (
+	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,10 +13,11 @@
 
 	"almondcove/shard"
 	"almondcove/standin"
+	"almondcove/store"
 )
 
 // startShard starts a shard of one entry. Won elections go to terms unless it is nil.
-func startShard(k *standin.KeyValue, name, run string, terms chan shard.Term) *shard.Shard {
+func startShard(k store.Store, name, run string, terms chan shard.Term) *shard.Shard {
 	began := time.Now()
 	return shard.New(shard.Config{
 		Store: k, Prefix: "t/",
@@ -25,7 +28,7 @@
 				terms <- t
 			}
 		},
-		Deposed: func() {}, Log: hclog.NewNullLogger(),
+		Deposed: func(int64) {}, Log: hclog.NewNullLogger(),
 	})
 }
 
@@ -106,6 +109,153 @@
 	}
 }
 
+// link is a store that one entry reaches only while the link is not cut. While it is
+// slow, commits take slowCommit.
+type link struct {
+	store.Store
+	cut, slow atomic.Bool
+}
+
+const slowCommit = time.Second
+
+func (l *link) err() error {
+	if l.cut.Load() {
+		return &store.Unavailable{Call: "cut", Cause: context.Canceled}
+	}
+	return nil
+}
+
+func (l *link) Get(ctx context.Context, key string) (store.Item, error) {
+	if err := l.err(); err != nil {
+		return store.Item{}, err
+	}
+	return l.Store.Get(ctx, key)
+}
+
+func (l *link) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	if err := l.err(); err != nil {
+		return nil, 0, err
+	}
+	return l.Store.Range(ctx, prefix)
+}
+
+func (l *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	if err := l.err(); err != nil {
+		return nil, 0, err
+	}
+	return l.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (l *link) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	if err := l.err(); err != nil {
+		return 0, err
+	}
+	if l.slow.Load() {
+		time.Sleep(slowCommit)
+	}
+	return l.Store.Commit(ctx, t)
+}
+
+func (l *link) RenewLease(ctx context.Context, id store.LeaseID) error {
+	if err := l.err(); err != nil {
+		return err
+	}
+	return l.Store.RenewLease(ctx, id)
+}
+
+// TestRestartAfterPledge guards against a second owner: an entry pledges to an owner
+// that can't reach the store, and restarts. Its new process must not campaign before
+// that pledge has expired, although the store shows no owner any more.
+func TestRestartAfterPledge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		began := time.Now()
+		toStore := &link{Store: k}
+		a := startShard(toStore, "a", "1", nil)
+		defer a.Close()
+		time.Sleep(time.Second)
+		b := startShard(k, "b", "1", nil)
+		time.Sleep(2 * time.Second)
+		g.Expect(a.HoldsOwnership()).To(gomega.BeTrue())
+		toStore.cut.Store(true)
+		for range 3 {
+			time.Sleep(600 * time.Millisecond)
+			o, _ := a.Owner()
+			if a.NeedsPledges() && b.GivePledge(o) {
+				a.RecordPledge("b", time.Since(began)+time.Hour)
+			}
+		}
+		k.ExpireLeases()
+		b.Close()
+		b = startShard(k, "b", "2", nil)
+		defer b.Close()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(countOwners(a, b)).To(gomega.BeNumerically("<=", 1))
+		}
+		g.Expect(b.HoldsOwnership()).To(gomega.BeTrue())
+	})
+}
+
+// TestPledgesOfUnknownEntries guards against an owner that goes on by pledges although
+// it doesn't know all entries: one has registered after the owner was cut off from the
+// store, and may campaign.
+func TestPledgesOfUnknownEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		began := time.Now()
+		toStore := &link{Store: k}
+		a := startShard(toStore, "a", "1", nil)
+		defer a.Close()
+		time.Sleep(time.Second)
+		b := startShard(k, "b", "1", nil)
+		defer b.Close()
+		time.Sleep(2 * time.Second)
+		toStore.cut.Store(true)
+		c := startShard(k, "c", "1", nil)
+		defer c.Close()
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if o, _ := a.Owner(); a.NeedsPledges() && b.GivePledge(o) {
+				a.ObserveEntries(b.MemberNames()...)
+				a.RecordPledge("b", time.Since(began)+time.Hour)
+			}
+			g.Expect(countOwners(a, b, c)).To(gomega.BeNumerically("<=", 1))
+		}
+		g.Expect(a.HoldsOwnership()).To(gomega.BeFalse())
+		g.Expect(c.HoldsOwnership()).To(gomega.BeTrue())
+	})
+}
+
+// TestNoPledgeDuringElection guards against a pledge by an entry whose own election is
+// on its way to the store.
+func TestNoPledgeDuringElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		toStore := &link{Store: k}
+		a := startShard(k, "a", "1", nil)
+		defer a.Close()
+		time.Sleep(time.Second)
+		b := startShard(toStore, "b", "1", nil)
+		defer b.Close()
+		time.Sleep(3 * time.Second)
+		old, _ := b.Owner()
+		g.Expect(old.Name).To(gomega.Equal("a"))
+		g.Expect(b.GivePledge(old)).To(gomega.BeTrue())
+		time.Sleep(3 * time.Second)
+		toStore.slow.Store(true)
+		g.Expect(a.Deregister(t.Context())).To(gomega.Succeed())
+		time.Sleep(700 * time.Millisecond)
+		g.Expect(b.HoldsOwnership()).To(gomega.BeFalse())
+		g.Expect(b.GivePledge(old)).To(gomega.BeFalse())
+		time.Sleep(2 * time.Second)
+		g.Expect(b.HoldsOwnership()).To(gomega.BeTrue())
+	})
+}
+
 // TestRestart guards against a restarted owner that waits for its previous lease to
 // expire, or that counts as reelected and therefore would not load the records. A
 // process that finds its own name in the owner key must take over at once, with
