Show and cancel only jobs of the caller's queue and team

Cause: the ingress checked the key and the route of a request and then asked for the job by its id alone. A caller with any valid key could see and cancel the jobs of other customers.

On queues that are open to all the team does not matter. The record of an ended job keeps both, so that this also holds after a change of owner; they are not known for jobs that earlier versions recorded as ended.

--- a/job/state.go
+++ b/job/state.go
@@ -189,6 +189,9 @@
 	EndedAt    time.Time       `json:"ended,omitzero"`
 	Done       []stageRecord   `json:"done,omitempty"`
 	Failed     []failureRecord `json:"failed,omitempty"`
+	// Queue and Team are those of a job that has ended, whose other record is deleted.
+	Queue string `json:"queue,omitempty"`
+	Team  string `json:"team,omitempty"`
 }
 
 // stageRecord is the stored form of the tasks of a stage that are done.
@@ -210,7 +213,9 @@
 // MarshalJSON returns the stored form, which Load reads.
 func (s *State) MarshalJSON() ([]byte, error) {
 	if s.Phase().Final() {
-		return json.Marshal(stateRecord{FinalPhase: s.Phase(), Started: s.started, EndedAt: s.endedAt})
+		return json.Marshal(stateRecord{
+			FinalPhase: s.Phase(), Started: s.started, EndedAt: s.endedAt, Queue: s.job.Queue, Team: s.job.Team,
+		})
 	}
 	stored := stateRecord{Started: s.started}
 	for stage, done := range s.done {
@@ -222,8 +227,8 @@
 	return json.Marshal(stored)
 }
 
-// Load replaces the state with a stored one. If it returns an error, the state is
-// unchanged.
+// Load replaces the state with a stored one. If the job has ended, it also sets the
+// queue and the team of the job. If it returns an error, the state is unchanged.
 func (s *State) Load(data []byte) error {
 	var stored stateRecord
 	if err := json.Unmarshal(data, &stored); err != nil {
@@ -241,6 +246,9 @@
 	}
 	loaded.finalPhase, loaded.started, loaded.endedAt = stored.FinalPhase, stored.Started || loaded.started, stored.EndedAt
 	*s = *loaded
+	if stored.Queue != "" {
+		s.job.Queue, s.job.Team = stored.Queue, stored.Team
+	}
 	return nil
 }
 
--- a/jobs/host.go
+++ b/jobs/host.go
@@ -24,11 +24,13 @@
 }
 
 // Show returns the phase of a job.
-func (h *jobHost) Show(id job.ID) owner.Answer { return h.node.owner.Show(id) }
+func (h *jobHost) Show(id job.ID, scope owner.Scope) owner.Answer {
+	return h.node.owner.Show(id, scope)
+}
 
 // Cancel cancels a job.
-func (h *jobHost) Cancel(ctx context.Context, id job.ID) owner.Answer {
-	return h.node.owner.Cancel(ctx, id)
+func (h *jobHost) Cancel(ctx context.Context, id job.ID, scope owner.Scope) owner.Answer {
+	return h.node.owner.Cancel(ctx, id, scope)
 }
 
 // Count returns the number of a queue's jobs of which no task has started.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -247,7 +247,7 @@
 func (s *system) show(node int, id job.ID) owner.Answer {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
-	return s.nodes[node].Show(ctx, id)
+	return s.nodes[node].Show(ctx, id, owner.Scope{})
 }
 
 // TestAnyEntryAnswers guards against requests that only the owner can answer: each
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -99,8 +99,11 @@
 	return owner.Answer{Outcome: owner.Unsettled, Reason: err.Error()}
 }
 
-// Submit passes a job to the owner.
+// Submit passes a job to the owner, unless it can never be accepted.
 func (n *Node) Submit(ctx context.Context, j *job.Job) owner.Answer {
+	if err := j.Check(); err != nil {
+		return owner.Answer{Outcome: owner.Invalid, Reason: err.Error()}
+	}
 	return n.forward(ctx, "submit",
 		func(ctx context.Context) owner.Answer { return n.owner.Submit(ctx, j) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
@@ -109,20 +112,20 @@
 }
 
 // Cancel asks the owner to cancel a job.
-func (n *Node) Cancel(ctx context.Context, id job.ID) owner.Answer {
+func (n *Node) Cancel(ctx context.Context, id job.ID, scope owner.Scope) owner.Answer {
 	return n.forward(ctx, "cancel",
-		func(ctx context.Context) owner.Answer { return n.owner.Cancel(ctx, id) },
+		func(ctx context.Context) owner.Answer { return n.owner.Cancel(ctx, id, scope) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
-			return n.links.Cancel(ctx, o.Address, id)
+			return n.links.Cancel(ctx, o.Address, id, scope)
 		})
 }
 
 // Show asks the owner for the phase of a job.
-func (n *Node) Show(ctx context.Context, id job.ID) owner.Answer {
+func (n *Node) Show(ctx context.Context, id job.ID, scope owner.Scope) owner.Answer {
 	return n.forward(ctx, "show",
-		func(context.Context) owner.Answer { return n.owner.Show(id) },
+		func(context.Context) owner.Answer { return n.owner.Show(id, scope) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
-			return n.links.Show(ctx, o.Address, id)
+			return n.links.Show(ctx, o.Address, id, scope)
 		})
 }
 
--- a/owner/calls.go
+++ b/owner/calls.go
@@ -58,6 +58,21 @@
 
 func (o Outcome) String() string { return outcomes[o] }
 
+// Scope limits a request to the jobs that the caller may know of. A job outside of it
+// does not exist for the request.
+type Scope struct {
+	// Queue is the queue of the job; empty means any.
+	Queue string
+	// Team is the team of the job; empty means any, as on queues that are open to all.
+	Team string
+}
+
+// includes reports whether a job is in the scope. The queue and the team of a job that
+// an earlier version has recorded as ended are not known.
+func (s Scope) includes(j *job.Job) bool {
+	return (s.Queue == "" || j.Queue == "" || s.Queue == j.Queue) && (s.Team == "" || j.Team == "" || s.Team == j.Team)
+}
+
 // Answer is the answer to a caller's request.
 type Answer struct {
 	Outcome Outcome
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
+	"almondcove/job"
 	"almondcove/ledger"
 	"almondcove/owner"
 	"almondcove/schedule"
@@ -50,6 +52,102 @@
 	})
 }
 
+// startOwner starts an owner of the first epoch whose records are in k.
+func startOwner(t *testing.T, k *standin.KeyValue) *owner.Owner {
+	l := ledger.New(ledger.Config{Store: k, Prefix: "t/", Run: "a"})
+	o := owner.New(owner.Config{
+		Ledger:         l,
+		Schedule:       schedule.Config{Retention: time.Minute},
+		HoldsOwnership: func() bool { return true },
+		Machines:       standin.NewMachines(standin.MachinesConfig{}),
+		ReportWaves:    func(context.Context, []schedule.WaveState) error { return nil },
+		Committed:      func(time.Duration, error) {},
+		Log:            hclog.NewNullLogger(),
+	})
+	t.Cleanup(o.Close)
+	o.SetView(schedule.View{Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p"}}})
+	tail := ledger.Tail{Run: "a", Epoch: 1}
+	value, err := json.Marshal(tail)
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	rev, err := k.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: ledger.TailKey("t/"), Value: value}}})
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+	o.Elected(shard.Term{Epoch: 1, Tail: ledger.StoredTail{Tail: tail, Rev: rev}})
+	time.Sleep(time.Second)
+	return o
+}
+
+// TestCancelAfterDeposition guards against a cancellation that waits for a commit
+// which this process will never make because it no longer owns the jobs.
+func TestCancelAfterDeposition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		o := startOwner(t, k)
+		j := &job.Job{ID: "1", Queue: "q", Steps: []job.Step{{Count: 1}}}
+		answer := o.Submit(t.Context(), j)
+		g.Expect(answer.Outcome).To(gomega.Equal(owner.Done), answer.Reason)
+		k.SetFault(standin.KeyValueDropsRequests)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		answers := make(chan owner.Answer, 1)
+		go func() { answers <- o.Cancel(ctx, "1", owner.Scope{}) }()
+		time.Sleep(time.Second)
+		o.Deposed(1)
+		time.Sleep(time.Millisecond)
+		g.Expect(answers).To(gomega.Receive(gomega.HaveField("Outcome", owner.Unsettled)))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestScope guards against callers who see or cancel the jobs of other teams and
+// queues, also after a job has ended and a new owner has read its record.
+func TestScope(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		k := standin.NewKeyValue()
+		o := startOwner(t, k)
+		j := &job.Job{ID: "1", Queue: "q", Team: "x", Steps: []job.Step{{Count: 1}}}
+		g.Expect(o.Submit(t.Context(), j).Outcome).To(gomega.Equal(owner.Done))
+		expectVisible := func(o *owner.Owner) {
+			for _, c := range []struct {
+				scope   owner.Scope
+				outcome owner.Outcome
+			}{
+				{owner.Scope{Queue: "q", Team: "x"}, owner.Done},
+				{owner.Scope{Queue: "q"}, owner.Done},
+				{owner.Scope{Queue: "q", Team: "y"}, owner.NoJob},
+				{owner.Scope{Queue: "r", Team: "x"}, owner.NoJob},
+			} {
+				g.Expect(o.Show("1", c.scope).Outcome).To(gomega.Equal(c.outcome), "%+v", c.scope)
+			}
+		}
+		expectVisible(o)
+		g.Expect(o.Cancel(t.Context(), "1", owner.Scope{Queue: "q", Team: "y"}).Outcome).To(gomega.Equal(owner.NoJob))
+		g.Expect(o.Show("1", owner.Scope{}).Phase).To(gomega.Equal(job.Pending))
+		g.Expect(o.Cancel(t.Context(), "1", owner.Scope{Queue: "q", Team: "x"}).Outcome).To(gomega.Equal(owner.Done))
+		expectVisible(o)
+		o.Deposed(1)
+		expectVisible(startOwner(t, k))
+	})
+}
+
+// TestDepositionOutOfOrder guards against the end of a term that is reported after the
+// next term has begun, or before the term itself: it must end its own term only.
+func TestDepositionOutOfOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		o := startOwner(t, standin.NewKeyValue())
+		o.Elected(shard.Term{Epoch: 3, Reelected: true})
+		o.Deposed(1)
+		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NoJob), "the later term goes on")
+		o.Deposed(4)
+		o.Elected(shard.Term{Epoch: 4, Reelected: true})
+		time.Sleep(time.Second)
+		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NotOwner), "the term has ended before it began")
+	})
+}
+
 // TestOwnerWithoutConfiguration guards against an owner that acts before it has the
 // operators' configuration, when it doesn't know where tasks may run. It must answer
 // as the owner only after SetView.
@@ -66,9 +164,9 @@
 		defer o.Close()
 		o.Elected(shard.Term{Epoch: 1})
 		time.Sleep(time.Second)
-		g.Expect(o.Show("1").Outcome).To(gomega.Equal(owner.NotOwner))
+		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NotOwner))
 		o.SetView(schedule.View{})
 		time.Sleep(time.Second)
-		g.Expect(o.Show("1").Outcome).To(gomega.Equal(owner.NoJob))
+		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NoJob))
 	})
 }
--- a/owner/record.go
+++ b/owner/record.go
@@ -121,19 +121,29 @@
 }
 
 // Show returns the phase of a job.
-func (o *Owner) Show(id job.ID) Answer {
+func (o *Owner) Show(id job.ID, scope Scope) Answer {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if a, ok := o.checkOwnership(); !ok {
 		return a
 	}
+	if !o.inScope(id, scope) {
+		return Answer{Outcome: NoJob}
+	}
 	if phase, ok := o.core.JobPhase(id); ok {
 		return Answer{Outcome: Done, Phase: phase}
 	}
-	if o.pending[id] != nil {
-		return Answer{Outcome: Done, Phase: job.Pending}
+	return Answer{Outcome: Done, Phase: job.Pending}
+}
+
+// inScope reports whether a job exists and a request may know of it. The caller holds
+// o.mu.
+func (o *Owner) inScope(id job.ID, scope Scope) bool {
+	if j := o.core.Job(id); j != nil {
+		return scope.includes(j)
 	}
-	return Answer{Outcome: NoJob}
+	a := o.pending[id]
+	return a != nil && scope.includes(a.job)
 }
 
 // Count returns the number of jobs in a queue of which no task has started.
@@ -147,19 +157,23 @@
 }
 
 // Cancel cancels a job. It returns once the cancellation is recorded or ctx ends.
-func (o *Owner) Cancel(ctx context.Context, id job.ID) Answer {
+func (o *Owner) Cancel(ctx context.Context, id job.ID, scope Scope) Answer {
 	o.mu.Lock()
 	if a, ok := o.checkOwnership(); !ok {
 		o.mu.Unlock()
 		return a
 	}
+	if !o.inScope(id, scope) {
+		o.mu.Unlock()
+		return Answer{Outcome: NoJob}
+	}
 	if a := o.pending[id]; a != nil {
 		a.callers++
 		o.mu.Unlock()
 		if answer := o.awaitAnswer(ctx, a); answer.Outcome != Done {
 			return answer
 		}
-		return o.Cancel(ctx, id)
+		return o.Cancel(ctx, id, scope)
 	}
 	defer o.mu.Unlock()
 	if !o.core.Cancel(id, time.Now()) {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -62,10 +62,10 @@
 type JobHost interface {
 	// Submit hands a job to the owner at this entry.
 	Submit(ctx context.Context, j *job.Job) owner.Answer
-	// Show returns the phase of a job.
-	Show(id job.ID) owner.Answer
-	// Cancel cancels a job.
-	Cancel(ctx context.Context, id job.ID) owner.Answer
+	// Show returns the phase of a job in a scope.
+	Show(id job.ID, scope owner.Scope) owner.Answer
+	// Cancel cancels a job in a scope.
+	Cancel(ctx context.Context, id job.ID, scope owner.Scope) owner.Answer
 	// Count returns the number of a queue's jobs of which nothing has started.
 	Count(queue string) owner.Answer
 	// ExchangeStatus takes the status of another entry and returns that of this one.
@@ -216,18 +216,18 @@
 }
 
 // Show asks the owner at an address for the phase of a job.
-func (l *JobLinks) Show(ctx context.Context, to netip.AddrPort, id job.ID) (owner.Answer, error) {
+func (l *JobLinks) Show(ctx context.Context, to netip.AddrPort, id job.ID, scope owner.Scope) (owner.Answer, error) {
 	reply, err := call(l, to, func(c wire.JobsClient, req *wire.JobRequest) (*wire.JobReply, error) {
 		return c.Show(ctx, req)
-	}, &wire.JobRequest{Id: string(id)})
+	}, encodeJobRequest(id, scope))
 	return decodeAnswer(reply), err
 }
 
 // Cancel asks the owner at an address to cancel a job.
-func (l *JobLinks) Cancel(ctx context.Context, to netip.AddrPort, id job.ID) (owner.Answer, error) {
+func (l *JobLinks) Cancel(ctx context.Context, to netip.AddrPort, id job.ID, scope owner.Scope) (owner.Answer, error) {
 	reply, err := call(l, to, func(c wire.JobsClient, req *wire.JobRequest) (*wire.JobReply, error) {
 		return c.Cancel(ctx, req)
-	}, &wire.JobRequest{Id: string(id)})
+	}, encodeJobRequest(id, scope))
 	return decodeAnswer(reply), err
 }
 
@@ -281,8 +281,20 @@
 	}
 }
 
+// encodeJobRequest encodes a request about a job in a scope.
+func encodeJobRequest(id job.ID, scope owner.Scope) *wire.JobRequest {
+	return &wire.JobRequest{Id: string(id), Queue: scope.Queue, Team: scope.Team}
+}
+
+func decodeScope(req *wire.JobRequest) owner.Scope {
+	return owner.Scope{Queue: req.GetQueue(), Team: req.GetTeam()}
+}
+
 func encodeEntryStatus(s EntryStatus) *wire.MemberState {
-	out := &wire.MemberState{Name: s.Name, Run: s.Run, Revision: s.Revision, Reaches: s.ReachesStore, Ask: s.RequestsPledge, Pledge: s.Pledge}
+	out := &wire.MemberState{
+		Name: s.Name, Run: s.Run, Revision: s.Revision, Reaches: s.ReachesStore, Ask: s.RequestsPledge, Pledge: s.Pledge,
+		Members: s.Members,
+	}
 	if s.Owner.Name != "" {
 		// Encoding cannot fail: the owner consists of names, addresses and numbers.
 		out.Owner, _ = json.Marshal(s.Owner)
@@ -325,12 +337,12 @@
 
 // Show returns the phase of a job.
 func (s *jobServer) Show(_ context.Context, req *wire.JobRequest) (*wire.JobReply, error) {
-	return encodeAnswer(s.host.Show(job.ID(req.GetId()))), nil
+	return encodeAnswer(s.host.Show(job.ID(req.GetId()), decodeScope(req))), nil
 }
 
 // Cancel cancels a job.
 func (s *jobServer) Cancel(ctx context.Context, req *wire.JobRequest) (*wire.JobReply, error) {
-	return encodeAnswer(s.host.Cancel(ctx, job.ID(req.GetId()))), nil
+	return encodeAnswer(s.host.Cancel(ctx, job.ID(req.GetId()), decodeScope(req))), nil
 }
 
 // Count returns the number of a queue's jobs of which nothing has started.
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -285,6 +285,15 @@
 	return tj.recordedPhase, true
 }
 
+// Job returns a job, or nil if it is not known. The caller must not modify it. A job
+// that has ended has only its id, its queue and its team.
+func (c *Core) Job(id job.ID) *job.Job {
+	if tj := c.jobs[id]; tj != nil {
+		return tj.Job
+	}
+	return nil
+}
+
 // PendingJobs returns the number of a queue's jobs of which no task has started.
 func (c *Core) PendingJobs(queue string) int {
 	n := 0
