Keep the orders of two owners for one machine apart

Cause: a reset drops what an owner has not sent, but not a call that the platform carries out late, nor one that a suspended process sends on waking: the ownership was checked before the connection was chosen. A new owner ordered machines as soon as it had read the records, up to 1 s before the last orders of the one before it had timed out.

An owner that leaves records for which machines it has given orders in that time; the others need not wait; - a withdrawn wave releases the VMs that were being emptied for it, and VMs removed from the list for a move are forgotten after their grace period.

Not covered where the platform checks no fencing tokens: a call that it carries out more than 3 s after it was sent.

--- a/owner/calls.go
+++ b/owner/calls.go
@@ -27,6 +27,22 @@
 	Move(ctx context.Context, token int64, m schedule.Move) schedule.MachineResult
 }
 
+type sendCheckKey struct{}
+
+// WithSendCheck returns a context for an order that may be sent only while check reports
+// true.
+func WithSendCheck(ctx context.Context, check func() bool) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, check)
+}
+
+// MaySend reports whether the order with this context may still be sent. Implementations
+// of [Machines] call it immediately before they write an order: the process may have been
+// suspended since the order was given, and another entry may be the owner by now.
+func MaySend(ctx context.Context) bool {
+	check, ok := ctx.Value(sendCheckKey{}).(func() bool)
+	return !ok || check()
+}
+
 // Advisor asks the advice service which VMs may run the tasks of a step.
 type Advisor interface {
 	// Advise returns a ticket for each VM that may run the tasks, and how long the
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	result := unsent
 	if o.config.HoldsOwnership() {
-		result = send(ctx)
+		result = send(WithSendCheck(ctx, o.config.HoldsOwnership))
 	}
 	o.config.Ordered(name, result.String())
 	o.updateCore(core, func(now time.Time) { apply(result, now) })
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -53,6 +53,10 @@
 	MaxStopTime time.Duration
 	// MoveTime is how long a machine's move to another pool takes.
 	MoveTime time.Duration
+	// MachineOrderGap is the shortest time between an order of one owner for a machine
+	// and the first order of another owner for it. It must be long enough for an order
+	// that got no answer to arrive.
+	MachineOrderGap time.Duration
 	// Retention is how long a job is kept after it has ended.
 	Retention time.Duration
 	Log       hclog.Logger
@@ -84,6 +88,16 @@
 	machines map[string]Machine
 	// machineNames lists the names of the machines in sorted order.
 	machineNames []string
+	// machineOrders holds when each machine was last given an order, for the record of
+	// the fleet.
+	machineOrders map[string]time.Time
+	// machineOrdersFrom is when the first order for a machine may be given, and
+	// blockedMachines holds until when the previous owner's orders keep single machines
+	// from getting one.
+	machineOrdersFrom time.Time
+	blockedMachines   map[string]time.Time
+	// handOverRecorded is set while the recorded fleet says that the owner has left.
+	handOverRecorded bool
 	// lastLoadLog is when the loads of the pools were last logged.
 	lastLoadLog time.Time
 	// averages holds the moving averages of each queue.
@@ -233,6 +247,9 @@
 		machines: make(map[string]Machine),
 		waves:    make(map[int64]*wave),
 		moves:    make(map[string]*move),
+
+		machineOrders:   make(map[string]time.Time),
+		blockedMachines: make(map[string]time.Time),
 	}
 }
 
@@ -241,6 +258,7 @@
 func (c *Core) SetEpoch(epoch int64) {
 	c.epoch = epoch
 	c.handingOver = false
+	c.fleetChanged = true
 	for _, v := range c.vms {
 		v.requireNewFence()
 	}
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -19,6 +19,7 @@
 // The record was made before recordedBefore, and maxLease is the longest time that a
 // VM may continue its runs from then on.
 func (c *Core) RestoreFleet(f Fleet, recordedBefore time.Time, maxLease time.Duration) {
+	c.blockMachines(f, recordedBefore)
 	until := recordedBefore.Add(maxLease)
 	c.restoredBegun = f.Begun
 	for n, machines := range f.Begun {
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -41,6 +41,8 @@
 	paces      []int
 	// advice holds the tickets that the advice service gives, by VM.
 	advice map[string]string
+	// machineOrderGap is the shortest time between the orders of two owners for a machine.
+	machineOrderGap time.Duration
 	// platform carries out the moves of machines; nil means that none is carried out.
 	platform func(schedule.Move)
 }
@@ -85,8 +87,8 @@
 	h.epoch++
 	h.core = schedule.New(schedule.Config{
 		Epoch: h.epoch, MaxLease: maxLease, Retention: time.Minute, MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond,
-		MaxStopTime: 900 * time.Millisecond,
-		Log:         hclog.NewNullLogger(),
+		MaxStopTime: 900 * time.Millisecond, MachineOrderGap: h.machineOrderGap,
+		Log: hclog.NewNullLogger(),
 	})
 	h.core.SetView(h.view, h.now)
 	h.core.RestoreFleet(h.recordedFleet, h.now, 6500*time.Millisecond)
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -55,8 +55,40 @@
 	return m, ok && m.State == Up && !c.isReserved(m.Name)
 }
 
-// isReserved reports whether a wave or a move is in progress on a machine.
+// mayOrderMachines reports whether this owner may order moves and maintenance, as far as
+// orders of the previous owner are concerned that may still be on their way.
+func (c *Core) mayOrderMachines(now time.Time) bool {
+	maps.DeleteFunc(c.blockedMachines, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(c.machineOrders, func(_ string, at time.Time) bool { return now.Sub(at) > c.config.MachineOrderGap })
+	return !c.handOverRecorded && !now.Before(c.machineOrdersFrom)
+}
+
+// blockMachines keeps this owner from giving orders for machines too soon after the
+// previous owner, whose record of the fleet was made before recordedBefore. An owner that
+// has left has recorded for which machines it had given orders. The first owner of all has
+// no predecessor.
+func (c *Core) blockMachines(f Fleet, recordedBefore time.Time) {
+	if c.config.Epoch <= 1 {
+		return
+	}
+	until := recordedBefore.Add(c.config.MachineOrderGap)
+	if !f.HandedOver {
+		c.machineOrdersFrom = until
+		return
+	}
+	c.handOverRecorded = true
+	c.fleetChanged = true
+	for _, name := range f.Ordered {
+		c.blockedMachines[name] = until
+	}
+}
+
+// isReserved reports whether a wave or a move is in progress on a machine, or the previous
+// owner may have given an order for it.
 func (c *Core) isReserved(machine string) bool {
+	if _, blocked := c.blockedMachines[machine]; blocked {
+		return true
+	}
 	for _, w := range c.waves {
 		if w.inProgress[machine] != nil {
 			return true
--- /dev/null
+++ b/schedule/machine_test.go
@@ -0,0 +1,72 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"almondcove/schedule"
+)
+
+// TestMachineOrdersAcrossOwners guards against orders of two owners for one machine that
+// follow each other too closely, or in the wrong order: the previous owner's order may
+// still be on its way. Nothing is known about an owner that has ended without notice. One
+// that has left has recorded its orders, so that other machines need not wait.
+func TestMachineOrdersAcrossOwners(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		handOver bool
+		// within holds the machines that are maintained in the first two seconds.
+		within []string
+	}{
+		{"ended", false, nil},
+		{"left", true, []string{"m-vm-1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h := newHarness(t, 3)
+			h.machineOrderGap = 3 * time.Second
+			h.changeOwner()
+			h.run(4 * time.Second)
+			h.maintain("vm-0", 2)
+			h.view.Waves[0].Machines = []string{"m-vm-0"}
+			h.core.SetView(h.view, h.now)
+			h.run(200 * time.Millisecond)
+			g.Expect(h.maintained).To(gomega.Equal([]string{"m-vm-0"}))
+			if c.handOver {
+				h.core.BeginHandover()
+				h.writeRecords()
+			}
+			h.maintained = nil
+			h.view.Waves = []schedule.Wave{{Number: 2, Machines: []string{"m-vm-0", "m-vm-1"}, Cap: 2, TimeLimit: time.Minute}}
+			h.changeOwner()
+			h.core.SetMachines(h.machines, h.now)
+			h.run(2 * time.Second)
+			g.Expect(h.maintained).To(gomega.Equal(c.within))
+			h.run(2 * time.Second)
+			g.Expect(h.maintained).To(gomega.ConsistOf("m-vm-0", "m-vm-1"))
+		})
+	}
+}
+
+// TestWithdrawnWave guards against VMs that get no tasks any more because the wave for
+// which they were emptied was withdrawn.
+func TestWithdrawnWave(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	h.submit(batch("1", 1))
+	h.workTime = 2 * time.Second
+	h.run(500 * time.Millisecond)
+	h.maintain("vm-0", 1)
+	h.run(500 * time.Millisecond)
+	h.submit(batch("2", 1))
+	h.run(500 * time.Millisecond)
+	g.Expect(h.starts).To(gomega.HaveLen(1), "the VM is being drained")
+	h.view.Waves = nil
+	h.core.SetView(h.view, h.now)
+	h.run(500 * time.Millisecond)
+	g.Expect(h.maintained).To(gomega.BeEmpty())
+	g.Expect(h.starts).To(gomega.HaveLen(2))
+}
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -91,8 +91,7 @@
 		case m.rejected(machine, c.machinesListedAt):
 			c.endMove(name)
 		case m.retryDue(now):
-			m.orderedAt = now
-			c.actions = append(c.actions, Move{Machine: name, Pool: m.toPool})
+			c.sendMove(name, m, now)
 		}
 	}
 }
@@ -105,8 +104,7 @@
 	case v == nil || v.silent || now.Sub(m.chosenAt) > drainForMoveTimeout:
 		c.endMove(name)
 	case len(v.runs) == 0:
-		m.orderedAt = now
-		c.actions = append(c.actions, Move{Machine: name, Pool: m.toPool})
+		c.sendMove(name, m, now)
 	}
 }
 
@@ -239,11 +237,17 @@
 }
 
 func (c *Core) orderMove(m Machine, toPool string, now time.Time) {
-	c.beginMove(m, toPool, m.Capacity, now).orderedAt = now
-	c.actions = append(c.actions, Move{Machine: m.Name, Pool: toPool})
+	c.sendMove(m.Name, c.beginMove(m, toPool, m.Capacity, now), now)
 	c.config.Log.Info("machine move ordered", "machine", m.Name, "from", m.Pool, "to", toPool, "vm", m.VM)
 }
 
+// sendMove orders a move, or repeats the order.
+func (c *Core) sendMove(machine string, m *move, now time.Time) {
+	m.orderedAt = now
+	c.machineOrders[machine] = now
+	c.actions = append(c.actions, Move{Machine: machine, Pool: m.toPool})
+}
+
 // beginMove records that a machine is to move, and keeps new tasks off its VM.
 func (c *Core) beginMove(m Machine, toPool string, capacity job.Resources, now time.Time) *move {
 	begun := &move{machineOrder: machineOrder{chosenAt: now, vm: m.VM}, toPool: toPool, capacity: capacity}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -32,8 +32,10 @@
 	}
 	if now.Sub(c.lastMachinePlan) >= machinePlanIntervalPerVM*time.Duration(len(c.vms)) {
 		c.lastMachinePlan = now
-		c.planWaves(now)
-		c.planMoves(now)
+		if c.mayOrderMachines(now) {
+			c.planWaves(now)
+			c.planMoves(now)
+		}
 	}
 	for _, p := range c.sortedPools() {
 		c.planPool(p, now)
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -140,6 +141,7 @@
 	if r.Fleet == nil {
 		return
 	}
+	c.handOverRecorded = r.Fleet.HandedOver
 	for _, place := range r.Fleet.VMs {
 		if v := c.vms[place.ID]; v != nil {
 			v.recorded = !place.Exact && !v.silent
@@ -173,6 +175,10 @@
 	VMs []Place `json:"vms"`
 	// Begun lists, by wave, the machines whose maintenance has begun.
 	Begun map[int64][]string `json:"begun,omitempty"`
+	// HandedOver is set if the owner has left and gives no more orders. Ordered then lists
+	// the machines that it has given orders for within [Config.MachineOrderGap].
+	HandedOver bool     `json:"left,omitempty"`
+	Ordered    []string `json:"ordered,omitempty"`
 }
 
 // Place is the record of one VM that may run tasks.
@@ -193,7 +199,10 @@
 // Fleet returns the record of the fleet. From then on the core does not renew the lease
 // of a VM that the record lists as exact, so that the next owner can rely on Left.
 func (c *Core) Fleet(now time.Time) Fleet {
-	out := Fleet{Begun: make(map[int64][]string)}
+	out := Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
+	if c.handingOver {
+		out.Ordered = slices.Sorted(maps.Keys(c.machineOrders))
+	}
 	for _, listed := range c.VMs() {
 		v := c.vms[listed.ID]
 		place := Place{VM: listed, Exact: c.handingOver || v.silent}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"maps"
 	"time"
 
 	"almondcove/job"
@@ -131,6 +132,7 @@
 		}
 		c.updateVM(v, listed, now)
 	}
+	maps.DeleteFunc(c.retired, func(_ string, at time.Time) bool { return now.Sub(at) >= retiredGracePeriod })
 	for id, v := range c.vms {
 		if !present[id] && v.listed {
 			v.listed = false
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -53,10 +53,14 @@
 		c.waves[w.Number] = added
 		c.config.Log.Info("maintenance wave added", "wave", w.Number, "machines", len(w.Machines), "within", w.TimeLimit, "cap", w.Cap)
 	}
-	for n := range c.waves {
-		if !requested[n] {
-			delete(c.waves, n)
+	for n, w := range c.waves {
+		if requested[n] {
+			continue
+		}
+		for name := range w.inProgress {
+			c.releaseMachine(w, name)
 		}
+		delete(c.waves, n)
 	}
 }
 
@@ -235,6 +239,7 @@
 
 func (c *Core) orderMaintenance(w *wave, mm *machineMaintenance, name string, now time.Time) {
 	mm.orderedAt = now
+	c.machineOrders[name] = now
 	c.actions = append(c.actions, Maintain{Machine: name, Wave: w.Number})
 }
 
