--- a/owner/owner.go
+++ b/owner/owner.go
@@ -252,6 +252,10 @@
 	if !o.active {
 		return
 	}
+	if o.core.FencesUsedUp() {
+		o.config.StepDown("fencing tokens used up")
+		return
+	}
 	o.refuseQueued()
 	for _, a := range o.core.Plan(time.Now()) {
 		o.execute(a)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -259,7 +259,9 @@
 	c.epoch = epoch
 	c.handingOver = false
 	c.fleetChanged = true
+	c.serial = 0
 	for _, v := range c.vms {
+		v.serial = 0
 		v.requireNewFence()
 	}
 }
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -12,6 +12,10 @@
 const (
 	// fenceSerialBits is the number of bits below the epoch in a fencing token.
 	fenceSerialBits = 20
+	// maxFenceSerial is the greatest serial number, and fenceReserve how many of the last
+	// ones are kept for the time until the next election.
+	maxFenceSerial = 1<<fenceSerialBits - 1
+	fenceReserve   = 1 << 16
 	// maxClockDrift is how much slower than the owner's clock a VM's clock may run,
 	// as a fraction.
 	maxClockDrift = 0.02
@@ -118,6 +122,10 @@
 // fence returns the VM's current fencing token.
 func (v *vm) fence(epoch int64) int64 { return epoch<<fenceSerialBits + v.serial }
 
+// FencesUsedUp reports whether the fencing tokens of this epoch are nearly used up, so that
+// a new epoch is needed.
+func (c *Core) FencesUsedUp() bool { return c.serial >= maxFenceSerial-fenceReserve }
+
 // SetVMs replaces the platform's list of VMs.
 func (c *Core) SetVMs(list []VM, now time.Time) {
 	present := make(map[string]bool, len(list))
@@ -238,11 +246,11 @@
 	}
 	v.holdRequested = false
 	h := Hold{VM: id, Seen: v.lastEndRecorded, Sent: now}
-	if v.needsNewFence {
+	if v.needsNewFence && c.serial < maxFenceSerial {
 		v.needsNewFence = false
 		c.serial++
 		v.serial = c.serial
-	} else if v.attached && !v.silent && v.missedHolds == 0 {
+	} else if !v.needsNewFence && v.attached && !v.silent && v.missedHolds == 0 {
 		h.Wait = v.holdWait()
 	}
 	h.Fence = v.fence(c.epoch)
--- a/schedule/vm_test.go
+++ b/schedule/vm_test.go
@@ -94,3 +94,26 @@
 	h.run(200 * time.Millisecond)
 	g.Expect(h.starts).To(gomega.HaveLen(6))
 }
+
+// TestFencesUsedUp guards against fencing tokens that grow into those of the next epoch
+// when one owner uses very many of them. The next owner's would be rejected then.
+func TestFencesUsedUp(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	var last schedule.Hold
+	for range 1 << 20 {
+		last, _ = h.core.Hold("vm-0", h.now)
+		h.core.HoldFailed(last, schedule.Gone, h.now)
+	}
+	g.Expect(h.core.FencesUsedUp()).To(gomega.BeTrue())
+	h.core.SetEpoch(h.epoch + 1)
+	g.Expect(h.core.FencesUsedUp()).To(gomega.BeFalse())
+	next, _ := h.core.Hold("vm-0", h.now)
+	g.Expect(next.Fence).To(gomega.BeNumerically(">", last.Fence))
+	h.changeOwner()
+	next, _ = h.core.Hold("vm-0", h.now)
+	g.Expect(next.Fence).To(gomega.BeNumerically(">", last.Fence), "another owner")
+	h.run(time.Second)
+	g.Expect(h.core.Pools(h.now)[0].Usable).To(gomega.Equal(1))
+}
