Mend four faults of the configuration, the seats and the time line

Causes, found by reading: - a change whose answer was lost counted as overtaken once 16 others had followed, since the head no longer names it, and was made again; - an entry that operators had removed came back into the mesh with the next reading of the seats, without proof of death, so that its seats stayed locked; - stamps of the time line had five digits of count above 65,535 events at one wall time, and sorted before earlier ones; - a bad `wait` was refused after the change had been made.

Change: such an outcome is Indeterminate; runs known as dead are left out; the clock moves its wall time on by a nanosecond; `wait` is read first.

--- a/entry/change.go
+++ b/entry/change.go
@@ -221,7 +221,7 @@
 // commitOutcome determines, from the head record kv in the platform, whether the
 // commit that wrote the head written took effect. It returns nil when it did. A head
 // keeps the stamps of the revisions just before it, so a commit is recognized after a
-// few later changes too.
+// few later changes too. After more of them its outcome stays unknown.
 func (e *Entry) commitOutcome(kv etcd.KV, written fleet.Head, cause error) error {
 	if kv.ModRevision == 0 {
 		return &NotRecorded{Cause: cause}
@@ -234,6 +234,8 @@
 		return nil
 	case head.Rev < written.Rev:
 		return &NotRecorded{Cause: cause}
+	case head.Rev-written.Rev > uint64(len(head.PastStamps)):
+		return &Indeterminate{Cause: cause}
 	}
 	return &concurrentWrite{}
 }
--- a/entry/seats.go
+++ b/entry/seats.go
@@ -161,10 +161,15 @@
 }
 
 // learnHolders makes the mesh contact the holders in the record, since a holder
-// may have been dead for long and only an attempt to contact it proves that.
+// may have been dead for long and only an attempt to contact it proves that. It leaves
+// out those that are known to be dead, such as an entry that operators have removed.
 func (s *seats) learnHolders(record limit.SeatAssignment) {
 	var members []peer.Member
+	deadSince := s.entry.deadSince()
 	for _, h := range record.Seats {
+		if _, dead := deadSince[h.Run]; dead {
+			continue
+		}
 		if a, err := netip.ParseAddrPort(h.Address); err == nil && a != s.entry.config.Self.Address {
 			members = append(members, peer.Member{Name: h.Name, Centre: s.entry.config.Self.Centre, Address: a, Run: h.Run})
 		}
--- a/operator/operations.go
+++ b/operator/operations.go
@@ -69,11 +69,15 @@
 		})
 	register(api, http.MethodPost, "/config/restore", "restore-config", "Write the held configuration into a platform that lost it",
 		func(ctx context.Context, in *WaitParams) (*output, error) {
+			wait, err := in.duration()
+			if err != nil {
+				return nil, err
+			}
 			result, err := h.backend.Restore(ctx)
 			if err != nil {
 				return nil, problemFor(err)
 			}
-			return h.awaitForce(ctx, result, nil, *in)
+			return h.awaitForce(ctx, result, nil, wait)
 		})
 	type NameParams struct {
 		WaitParams
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -122,6 +122,18 @@
 	Wait string `query:"wait" doc:"how long to wait until the change is in force everywhere, such as 10s"`
 }
 
+// duration returns the time to wait. It must be called before the change is made.
+func (p WaitParams) duration() (time.Duration, error) {
+	if p.Wait == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(p.Wait)
+	if err != nil || d < 0 {
+		return 0, problem.New(http.StatusBadRequest, "bad wait", "nothing was changed; expected wait to be a duration such as 10s")
+	}
+	return min(d, maxWait), nil
+}
+
 // output is the output of every change.
 type output struct {
 	Body Result
@@ -130,38 +142,38 @@
 // change records a change and waits until it is in force everywhere, for at most the
 // time in params.
 func (h *handler) change(ctx context.Context, change fleet.Change, params WaitParams) (*output, error) {
+	wait, err := params.duration()
+	if err != nil {
+		return nil, err
+	}
 	result, err := h.backend.Change(ctx, change)
 	if err != nil {
 		return nil, problemFor(err)
 	}
-	return h.awaitForce(ctx, result, nil, params)
+	return h.awaitForce(ctx, result, nil, wait)
 }
 
 // restrict puts a restriction in force at once on this entry and waits until it is
 // in force everywhere, for at most the time in params.
 func (h *handler) restrict(ctx context.Context, restriction fleet.Restriction, params WaitParams) (*output, error) {
+	wait, err := params.duration()
+	if err != nil {
+		return nil, err
+	}
 	result, err := h.backend.Restrict(ctx, restriction)
 	if err != nil {
 		return nil, problemFor(err)
 	}
 	if result.Recorded {
-		return h.awaitForce(ctx, result, nil, params)
+		return h.awaitForce(ctx, result, nil, wait)
 	}
-	return h.awaitForce(ctx, result, &restriction, params)
+	return h.awaitForce(ctx, result, &restriction, wait)
 }
 
-// awaitForce waits until a change is in force everywhere, for at most the time in
-// params. A restriction that the platform has not recorded has no revision to wait
-// for and is passed as unrecorded, which is nil for every other change.
-func (h *handler) awaitForce(ctx context.Context, result entry.ChangeResult, unrecorded *fleet.Restriction, params WaitParams) (*output, error) {
-	var wait time.Duration
-	if params.Wait != "" {
-		d, err := time.ParseDuration(params.Wait)
-		if err != nil || d < 0 {
-			return nil, problem.New(http.StatusBadRequest, "bad wait", "the change is recorded; expected wait to be a duration such as 10s")
-		}
-		wait = min(d, maxWait)
-	}
+// awaitForce waits until a change is in force everywhere, for at most the given time. A
+// restriction that the platform has not recorded has no revision to wait for and is
+// passed as unrecorded, which is nil for every other change.
+func (h *handler) awaitForce(ctx context.Context, result entry.ChangeResult, unrecorded *fleet.Restriction, wait time.Duration) (*output, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return &output{Body: Result{ChangeResult: result, Force: h.backend.WaitInForce(ctx, result.Rev, unrecorded)}}, nil
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -38,10 +38,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wall := time.Now().UnixNano()
-	if wall > c.wall {
+	switch {
+	case wall > c.wall:
 		c.wall, c.count = wall, 0
-	} else {
+	case c.count < maxCount:
 		c.count++
+	default:
+		c.wall, c.count = c.wall+1, 0
 	}
 	return formatStamp(c.wall, c.count)
 }
@@ -60,11 +63,14 @@
 	}
 }
 
+// maxCount is the greatest count that a stamp has room for.
+const maxCount = 0xffff
+
 func formatStamp(wall int64, count uint32) Stamp {
 	return fmt.Sprintf("%016x.%04x", wall, count)
 }
 
 func parseStamp(s Stamp) (wall int64, count uint32, ok bool) {
 	n, err := fmt.Sscanf(s, "%016x.%04x", &wall, &count)
-	return wall, count, err == nil && n == 2
+	return wall, count, err == nil && n == 2 && count <= maxCount
 }
