Refuse requests with keys while the configuration may be out of date

Cause: where the users set strictRevoke, a withdrawn key must stop working within revokeMs at every entry, in touch or not. An entry that was cut off from the store, or suspended, went on by its last copy.

Change: an entry knows how old its copy of the operators' records is, by a clock that counts suspension, from when the last answered call to the store was sent; copies that other entries pass on make it no younger.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -96,6 +96,9 @@
 	VMs                    owner.VMs
 	Machines               owner.Machines
 	Advisor                owner.Advisor
+	// MaxRecordsAge limits the age of the operators' records by which requests with keys
+	// are served; zero means no limit.
+	MaxRecordsAge time.Duration
 	// ReportWaves writes the progress of maintenance waves to the store.
 	ReportWaves func(ctx context.Context, s store.Store, states []schedule.WaveState) error
 	Network     network.Network
@@ -203,6 +206,7 @@
 	c := n.config
 	n.operatorRecords = mirror.New(mirror.Config{
 		Store: n.relay, Prefix: c.OperatorRecordsPrefix, OnChange: n.applyOperatorRecords, Log: c.Log,
+		Clock: c.Clock, Wait: recordsWait(c.MaxRecordsAge),
 	})
 	n.vmList = mirror.New(mirror.Config{
 		Store: n.relay, Prefix: c.VMsPrefix, Wait: vmListWait, MinInterval: vmListMinInterval, Active: n.holdsOwnership, Log: c.Log,
@@ -210,6 +214,15 @@
 	})
 }
 
+// recordsWait returns how long a watch of the operators' records waits for a change: the
+// default, or less if the records must not get older than that.
+func recordsWait(maxAge time.Duration) time.Duration {
+	if maxAge == 0 {
+		return 0
+	}
+	return min(mirror.DefaultWait, maxAge/3)
+}
+
 func (n *Node) applyOperatorRecords(copied mirror.Snapshot) {
 	if v, ok := n.config.Decoder.View(copied.Items); ok {
 		n.owner.SetView(v)
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -57,7 +57,14 @@
 	// entryPower is the power of the entries that are started next.
 	entryPower int
 	// store is the store as the entries reach it.
-	store   store.Store
+	store store.Store
+	// clock is the clock of the entries that are started next; nil means one that starts
+	// with the entry.
+	clock func() time.Duration
+	// maxRecordsAge is the limit of the age of the records at the entries that are started
+	// next.
+	maxRecordsAge time.Duration
+
 	net     *standin.Network
 	checker *standin.Checker
 	// machines has no machines until a test adds some.
@@ -135,7 +142,11 @@
 func entryAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
 
 func (s *system) startEntry(i int, run string) *jobs.Node {
-	began := time.Now()
+	clock := s.clock
+	if clock == nil {
+		began := time.Now()
+		clock = func() time.Duration { return time.Since(began) + time.Hour }
+	}
 	name := fmt.Sprintf("entry-%d", i)
 	n, err := jobs.Start(jobs.Config{
 		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(entryAddr(i), 7000), Power: s.entryPower},
@@ -145,8 +156,8 @@
 		VMs:                    &vmClient{system: s}, Machines: s.machines, Advisor: s,
 		ReportWaves: func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network:     s.net.ForHost(entryAddr(i)),
-		Clock:       func() time.Duration { return time.Since(began) + time.Hour },
-		Log:         s.logger(name),
+		Clock:       clock, MaxRecordsAge: s.maxRecordsAge,
+		Log: s.logger(name),
 	})
 	if err != nil {
 		s.t.Fatal(err)
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -139,11 +139,21 @@
 		})
 }
 
+// KeysCurrent reports whether requests with keys may be served: the operators' records,
+// by which keys are withdrawn, are not older than Config.MaxRecordsAge.
+func (n *Node) KeysCurrent() bool {
+	if n.config.MaxRecordsAge == 0 {
+		return true
+	}
+	age, known := n.operatorRecords.Age()
+	return known && age <= n.config.MaxRecordsAge
+}
+
 // Ready reports whether this entry can forward requests: it is not leaving, has
-// read the operators' records and is not cut off.
+// current records of the operators and is not cut off.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
 	leaving := n.leaving
 	n.mu.Unlock()
-	return !leaving && n.operatorRecords.Snapshot().Complete && !n.CutOff()
+	return !leaving && n.operatorRecords.Snapshot().Complete && n.KeysCurrent() && !n.CutOff()
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -60,7 +60,10 @@
 	Active func() bool
 	// OnChange is called with the new snapshot after each change; it must not block.
 	OnChange func(Snapshot)
-	Log      hclog.Logger
+	// Clock is the clock of [Mirror.Age]; nil means one that starts with the mirror and
+	// stands still while the machine is suspended.
+	Clock func() time.Duration
+	Log   hclog.Logger
 }
 
 // Mirror follows the keys with one prefix. Its methods are safe for concurrent use.
@@ -71,8 +74,11 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	snapshot Snapshot
-	// lastAnswer is the time of the store's last successful answer.
-	lastAnswer time.Time
+	// currentAt is a time of Config.Clock at which the snapshot was known to be current.
+	// It is valid while the snapshot is complete and came from the store.
+	currentAt time.Duration
+	// everCurrent is set once currentAt is valid.
+	everCurrent bool
 }
 
 // New returns a mirror and starts the goroutine that follows the store.
@@ -83,6 +89,10 @@
 	if c.Active == nil {
 		c.Active = func() bool { return true }
 	}
+	if c.Clock == nil {
+		began := time.Now()
+		c.Clock = func() time.Duration { return time.Since(began) }
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Mirror{config: c, ctx: ctx, cancel: cancel}
 	m.wg.Go(m.run)
@@ -102,11 +112,13 @@
 	return m.snapshot
 }
 
-// LastAnswer returns when the store last answered.
-func (m *Mirror) LastAnswer() time.Time {
+// Age returns how long ago the snapshot was last known to contain every change. It
+// counts from when the last call that the store answered was sent, and reports false
+// before the first answer. Snapshots from other sources make it no younger.
+func (m *Mirror) Age() (time.Duration, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lastAnswer
+	return m.config.Clock() - m.currentAt, m.everCurrent
 }
 
 // ReplaceIfNewer installs a snapshot from another source if it is complete and
@@ -158,12 +170,12 @@
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, m.config.Wait+callTimeout)
 	defer cancel()
-	start := time.Now()
+	start, sent := time.Now(), m.config.Clock()
 	events, next, err := m.config.Store.Watch(ctx, m.config.Prefix, after, m.config.Wait)
 	if err != nil {
 		return after, err
 	}
-	m.apply(events)
+	m.apply(events, sent)
 	if len(events) > 0 {
 		delay.Sleep(m.ctx, m.config.MinInterval-time.Since(start))
 	}
@@ -174,6 +186,7 @@
 func (m *Mirror) list() (int64, error) {
 	ctx, cancel := context.WithTimeout(m.ctx, callTimeout)
 	defer cancel()
+	sent := m.config.Clock()
 	items, rev, err := m.config.Store.Range(ctx, m.config.Prefix)
 	if err != nil {
 		return 0, err
@@ -191,18 +204,18 @@
 	}
 	s.Rev = max(s.Rev, m.snapshot.Rev)
 	m.snapshot = s
-	m.lastAnswer = time.Now()
+	m.currentAt, m.everCurrent = sent, true
 	m.mu.Unlock()
 	m.config.OnChange(s)
 	return rev, nil
 }
 
-// apply adds the events of a watch to the snapshot. It skips events that are
+// apply adds the events of a watch, which was sent at sent, to the snapshot. It skips events that are
 // older than the item in the snapshot, which ReplaceIfNewer may have installed.
-func (m *Mirror) apply(events []store.Event) {
+func (m *Mirror) apply(events []store.Event, sent time.Duration) {
 	m.mu.Lock()
-	m.lastAnswer = time.Now()
 	if len(events) == 0 {
+		m.currentAt = sent
 		m.mu.Unlock()
 		return
 	}
@@ -219,6 +232,7 @@
 		}
 	}
 	m.snapshot = s
+	m.currentAt = sent
 	m.mu.Unlock()
 	m.config.OnChange(s)
 }
