Wait for late machine orders only where they can take effect

Cause: every new owner waited for 3 s before it ordered a machine.

Change: the wait is for orders that may still arrive. An owner that leaves records its orders, as before. After one that ended without notice the wait is the 1.2 s that an order lives, none where the platform checks fencing tokens (requireFence), and none if the process is known to have ended: its connections were reset then. Two owners in touch take turns only in a handover.

--- a/owner/term.go
+++ b/owner/term.go
@@ -147,7 +147,9 @@
 	now := time.Now()
 	c := o.config.Schedule
 	c.Epoch = t.Epoch
-	c.MachineOrderGap = max(c.MachineOrderGap, machineTimeout)
+	if !c.ChecksMachineTokens && !t.PredecessorEnded {
+		c.LateMachineOrders = machineTimeout
+	}
 	c.Log = o.config.Log
 	o.core = schedule.New(c)
 	o.core.SetView(o.view, now)
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -53,10 +53,15 @@
 	MaxStopTime time.Duration
 	// MoveTime is how long a machine's move to another pool takes.
 	MoveTime time.Duration
-	// MachineOrderGap is the shortest time between an order of one owner for a machine
-	// and the first order of another owner for it. It must be long enough for an order
-	// that got no answer to arrive.
+	// MachineOrderGap is the shortest time between an order for a machine by an owner that
+	// has left and the first order of the next owner for it.
 	MachineOrderGap time.Duration
+	// ChecksMachineTokens is set if the platform rejects an order for a machine whose
+	// fencing token is lower than one that it has seen.
+	ChecksMachineTokens bool
+	// LateMachineOrders is how long after the end of a term an order of its owner for a
+	// machine may still arrive and be carried out.
+	LateMachineOrders time.Duration
 	// Retention is how long a job is kept after it has ended.
 	Retention time.Duration
 	Log       hclog.Logger
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -41,8 +41,9 @@
 	paces      []int
 	// advice holds the tickets that the advice service gives, by VM.
 	advice map[string]string
-	// machineOrderGap is the shortest time between the orders of two owners for a machine.
-	machineOrderGap time.Duration
+	// machineOrderGap and lateMachineOrders are those of the configuration of the owners
+	// that follow.
+	machineOrderGap, lateMachineOrders time.Duration
 	// platform carries out the moves of machines; nil means that none is carried out.
 	platform func(schedule.Move)
 }
@@ -87,7 +88,7 @@
 	h.epoch++
 	h.core = schedule.New(schedule.Config{
 		Epoch: h.epoch, MaxLease: maxLease, Retention: time.Minute, MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond,
-		MaxStopTime: 900 * time.Millisecond, MachineOrderGap: h.machineOrderGap,
+		MaxStopTime: 900 * time.Millisecond, MachineOrderGap: h.machineOrderGap, LateMachineOrders: h.lateMachineOrders,
 		Log: hclog.NewNullLogger(),
 	})
 	h.core.SetView(h.view, h.now)
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -65,21 +65,16 @@
 
 // blockMachines keeps this owner from giving orders for machines too soon after the
 // previous owner, whose record of the fleet was made before recordedBefore. An owner that
-// has left has recorded for which machines it had given orders. The first owner of all has
-// no predecessor.
+// has left has recorded for which machines it had given orders.
 func (c *Core) blockMachines(f Fleet, recordedBefore time.Time) {
-	if c.config.Epoch <= 1 {
-		return
-	}
-	until := recordedBefore.Add(c.config.MachineOrderGap)
 	if !f.HandedOver {
-		c.machineOrdersFrom = until
+		c.machineOrdersFrom = recordedBefore.Add(c.config.LateMachineOrders)
 		return
 	}
 	c.handOverRecorded = true
 	c.fleetChanged = true
 	for _, name := range f.Ordered {
-		c.blockedMachines[name] = until
+		c.blockedMachines[name] = recordedBefore.Add(c.config.MachineOrderGap)
 	}
 }
 
--- a/schedule/machine_test.go
+++ b/schedule/machine_test.go
@@ -26,7 +26,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
 			h := newHarness(t, 3)
-			h.machineOrderGap = 3 * time.Second
+			h.machineOrderGap, h.lateMachineOrders = 3*time.Second, 3*time.Second
 			h.changeOwner()
 			h.run(4 * time.Second)
 			h.maintain("vm-0", 2)
--- a/shard/election.go
+++ b/shard/election.go
@@ -109,6 +109,8 @@
 	term := Term{
 		Epoch:     max(lastTail.Epoch, knownOwner.Epoch) + 1,
 		Reelected: lastTail.Run == s.config.Self.Run,
+
+		PredecessorEnded: tailItem.Rev == 0 || lastTail.Run == deadRun || ownedByEarlierProcess(ownerItem, lastTail, s.config.Self),
 	}
 	begun, inDoubt := s.beginElection(term.Epoch)
 	if !begun {
@@ -167,6 +169,16 @@
 	return o.Run == deadRun || o.Name == s.config.Self.Name
 }
 
+// ownedByEarlierProcess reports whether the owner key names an earlier process of the
+// entry self as the owner of the last term.
+func ownedByEarlierProcess(ownerItem store.Item, lastTail ledger.Tail, self Member) bool {
+	var o Owner
+	if ownerItem.Rev == 0 || json.Unmarshal(ownerItem.Value, &o) != nil {
+		return false
+	}
+	return o.Name == self.Name && o.Run != self.Run && o.Run == lastTail.Run
+}
+
 // readTail returns the stored tail, both as the store item and decoded. Both are
 // empty if no owner has been elected yet.
 func (s *Shard) readTail(ctx context.Context) (store.Item, ledger.Tail, error) {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -88,6 +88,9 @@
 	// Reelected is set if no other process has owned the jobs since this one did,
 	// so that its state in memory is still current.
 	Reelected bool
+	// PredecessorEnded is set if the process of the previous owner is known to have ended,
+	// or there was none, so that nothing that it had not sent will arrive.
+	PredecessorEnded bool
 }
 
 // Config configures a shard.
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -276,6 +276,7 @@
 		term := <-terms
 		g.Expect(term.Epoch).To(gomega.Equal(int64(2)))
 		g.Expect(term.Reelected).To(gomega.BeFalse())
+		g.Expect(term.PredecessorEnded).To(gomega.BeTrue(), "it was an earlier process of this entry")
 		k.ExpireLeases()
 		time.Sleep(2 * time.Second)
 		term = <-terms
