Slow the owner's calls down before its link or processor is full

Cause: on the small twins of the large site (18 entries with links of 2 Mbit/s, 130 VMs) the owner's link is full from the first second.

Change: package congestion takes the delay of answered calls as the sign of a full link or processor. Pools take turns at the limited starts. A log line and two gauges show it; a third shows the age of the operators' records.

--- a/jobs/metrics.go
+++ b/jobs/metrics.go
@@ -89,22 +89,26 @@
 
 // The descriptions of the metrics of nodeCollector.
 var (
-	ownerDesc    = prometheus.NewDesc("almondcove_owner", "1 while this entry owns the jobs.", nil, nil)
-	epochDesc    = prometheus.NewDesc("almondcove_epoch", "Epoch of the owner that this entry knows.", nil, nil)
-	recordsDesc  = prometheus.NewDesc("almondcove_records_revision", "Revision of the operators' records in force.", nil, nil)
-	storeDesc    = prometheus.NewDesc("almondcove_store_age_seconds", "Time since the store last answered this entry itself.", nil, nil)
-	vmsDesc      = prometheus.NewDesc("almondcove_vms", "VMs of the owner by pool and state.", []string{"pool", "state"}, nil)
-	waitingDesc  = prometheus.NewDesc("almondcove_tasks_waiting", "Tasks that wait for a VM, by pool.", []string{"pool"}, nil)
-	startsDesc   = prometheus.NewDesc("almondcove_task_starts_total", "Orders to start a task.", nil, nil)
-	endsDesc     = prometheus.NewDesc("almondcove_task_ends_total", "Ends of runs that VMs have listed.", nil, nil)
-	failuresDesc = prometheus.NewDesc("almondcove_task_failures_total", "Ends of runs as failed.", nil, nil)
-	lapsesDesc   = prometheus.NewDesc("almondcove_task_lapses_total", "Runs taken as ended without an end.", nil, nil)
+	ownerDesc       = prometheus.NewDesc("almondcove_owner", "1 while this entry owns the jobs.", nil, nil)
+	epochDesc       = prometheus.NewDesc("almondcove_epoch", "Epoch of the owner that this entry knows.", nil, nil)
+	recordsDesc     = prometheus.NewDesc("almondcove_records_revision", "Revision of the operators' records in force.", nil, nil)
+	storeDesc       = prometheus.NewDesc("almondcove_store_age_seconds", "Time since the store last answered this entry itself.", nil, nil)
+	recordsAgeDesc  = prometheus.NewDesc("almondcove_records_age_seconds", "Time since the operators' records were known to be current.", nil, nil)
+	callDelayDesc   = prometheus.NewDesc("almondcove_vm_call_delay_seconds", "Mean delay of the owner's calls to VMs.", nil, nil)
+	startWindowDesc = prometheus.NewDesc("almondcove_start_window", "Start orders that the owner may have in flight.", nil, nil)
+	vmsDesc         = prometheus.NewDesc("almondcove_vms", "VMs of the owner by pool and state.", []string{"pool", "state"}, nil)
+	waitingDesc     = prometheus.NewDesc("almondcove_tasks_waiting", "Tasks that wait for a VM, by pool.", []string{"pool"}, nil)
+	startsDesc      = prometheus.NewDesc("almondcove_task_starts_total", "Orders to start a task.", nil, nil)
+	endsDesc        = prometheus.NewDesc("almondcove_task_ends_total", "Ends of runs that VMs have listed.", nil, nil)
+	failuresDesc    = prometheus.NewDesc("almondcove_task_failures_total", "Ends of runs as failed.", nil, nil)
+	lapsesDesc      = prometheus.NewDesc("almondcove_task_lapses_total", "Runs taken as ended without an end.", nil, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (nc *nodeCollector) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		ownerDesc, epochDesc, recordsDesc, storeDesc, vmsDesc, waitingDesc, startsDesc, endsDesc, failuresDesc, lapsesDesc,
+		recordsAgeDesc, callDelayDesc, startWindowDesc,
 	} {
 		c <- d
 	}
@@ -135,6 +139,12 @@
 		gauge(vmsDesc, float64(p.Closed), p.Name, "closed")
 		gauge(waitingDesc, float64(p.Waiting), p.Name)
 	}
+	if age, known := nc.node.operatorRecords.Age(); known {
+		gauge(recordsAgeDesc, age.Seconds())
+	}
+	delay, window := nc.node.owner.Congestion()
+	gauge(callDelayDesc, delay.Seconds())
+	gauge(startWindowDesc, float64(window))
 	count(startsDesc, stats.Starts)
 	count(endsDesc, stats.Ends)
 	count(failuresDesc, stats.Failures)
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -64,20 +64,33 @@
 	o.updateCore(core, func(now time.Time) { apply(result, now) })
 }
 
+// callTimeout returns how long a call to a VM may take.
+func (o *Owner) callTimeout() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.congestion.Timeout(callTimeout)
+}
+
 func (o *Owner) orderStart(core *schedule.Core, v schedule.VM, a schedule.Start) {
-	sendOrder(o, core, "start", orderTimeout, schedule.Unsent,
+	sent := time.Now()
+	sendOrder(o, core, "start", o.callTimeout(), schedule.Unsent,
 		func(ctx context.Context) schedule.Result { return o.config.VMs.Start(ctx, v, a) },
-		func(r schedule.Result, now time.Time) { core.Started(a, r, now) })
+		func(r schedule.Result, now time.Time) {
+			if r == schedule.Accepted {
+				o.congestion.Observe(now.Sub(sent), now)
+			}
+			core.Started(a, r, now)
+		})
 }
 
 func (o *Owner) orderStop(core *schedule.Core, v schedule.VM, a schedule.Stop) {
-	sendOrder(o, core, "stop", orderTimeout, schedule.Unsent,
+	sendOrder(o, core, "stop", o.callTimeout(), schedule.Unsent,
 		func(ctx context.Context) schedule.Result { return o.config.VMs.Stop(ctx, v, a) },
 		func(r schedule.Result, now time.Time) { core.Stopped(a, r, now) })
 }
 
 func (o *Owner) orderPace(core *schedule.Core, v schedule.VM, a schedule.Pace) {
-	sendOrder(o, core, "pace", orderTimeout, schedule.Unsent,
+	sendOrder(o, core, "pace", o.callTimeout(), schedule.Unsent,
 		func(ctx context.Context) schedule.Result { return o.config.VMs.Pace(ctx, v, a) },
 		func(r schedule.Result, now time.Time) { core.Paced(a, r, now) })
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -16,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"almondcove/congestion"
 	"almondcove/delay"
 	"almondcove/job"
 	"almondcove/ledger"
@@ -37,10 +38,9 @@
 	planPauseFactor = 4
 	// commitPause is the pause between two commits, so that records are batched.
 	commitPause = 12 * time.Millisecond
-	// orderTimeout bounds an order to a VM.
-	orderTimeout = 500 * time.Millisecond
-	// holdTimeout plus the time that the VM may wait before it answers bounds a hold.
-	holdTimeout = 500 * time.Millisecond
+	// callTimeout bounds an order to a VM, and a hold in addition to the time that the VM
+	// may wait before it answers. Both may take longer during congestion.
+	callTimeout = 500 * time.Millisecond
 	// minHoldInterval is the minimum time between the starts of two holds of a VM, so
 	// that ended runs are batched. holdIntervalPerVM is added for each VM, since one
 	// processor handles all reports.
@@ -63,6 +63,8 @@
 	// machineTimeout bounds an order for a machine, and one round of reading the
 	// machine list and reporting the waves.
 	machineTimeout = 1200 * time.Millisecond
+	// congestionLogInterval is the least time between two log lines on congestion.
+	congestionLogInterval = time.Second
 	// commitStuckAfter is the age at which an unfinished commit means that the store
 	// is unavailable.
 	commitStuckAfter = 400 * time.Millisecond
@@ -138,6 +140,10 @@
 	waiters []*waiter
 	// sessions holds the sessions by VM.
 	sessions map[string]*session
+	// congestion limits the load on this entry's link and processor.
+	congestion *congestion.Controller
+	// congestionLoggedAt is when congestion was last logged.
+	congestionLoggedAt time.Time
 	// commitStartedAt is when the commit in flight began; zero means none.
 	commitStartedAt time.Time
 	// commitRefusedAt is when the store last refused a commit; a successful commit
@@ -169,7 +175,7 @@
 	o := &Owner{
 		config: c, ctx: ctx, cancel: cancel,
 		planWake: make(chan struct{}, 1), commitWake: make(chan struct{}, 1), machinesWake: make(chan struct{}, 1),
-		pending: make(map[job.ID]*acceptance), sessions: make(map[string]*session),
+		pending: make(map[job.ID]*acceptance), sessions: make(map[string]*session), congestion: congestion.New(),
 	}
 	o.done.Go(o.planLoop)
 	o.done.Go(o.commitLoop)
@@ -257,6 +263,8 @@
 		return
 	}
 	o.refuseQueued()
+	o.core.LimitStarts(o.congestion.Window())
+	o.logCongestion()
 	for _, a := range o.core.Plan(time.Now()) {
 		o.execute(a)
 	}
@@ -265,6 +273,28 @@
 	}
 }
 
+// logCongestion logs congestion, at most once in congestionLogInterval. The caller holds
+// o.mu.
+func (o *Owner) logCongestion() {
+	if !o.congestion.Congested() || time.Since(o.congestionLoggedAt) < congestionLogInterval {
+		return
+	}
+	o.congestionLoggedAt = time.Now()
+	o.config.Log.Warn("calls to VMs are delayed; holds are rarer and fewer starts in flight", "delay", o.congestion.Delay(),
+		"interval", o.congestion.Interval(minHoldInterval), "window", o.congestion.Window())
+}
+
+// Congestion returns the mean delay of calls to VMs, and how many start orders may be in
+// flight. Both are zero while this entry is not the active owner.
+func (o *Owner) Congestion() (time.Duration, int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.active {
+		return 0, 0
+	}
+	return o.congestion.Delay(), o.congestion.Window()
+}
+
 // Stats returns the owner's counters and the states of its pools. Both are empty
 // while this entry is not the active owner.
 func (o *Owner) Stats() (schedule.Stats, []schedule.PoolState) {
--- a/owner/session.go
+++ b/owner/session.go
@@ -48,11 +48,11 @@
 }
 
 // holdInterval returns the minimum time between the starts of two holds of a VM. It
-// is minHoldInterval plus holdIntervalPerVM for each VM.
+// is minHoldInterval plus holdIntervalPerVM for each VM, and longer during congestion.
 func (o *Owner) holdInterval() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return minHoldInterval + time.Duration(len(o.sessions))*holdIntervalPerVM
+	return o.congestion.Interval(minHoldInterval + time.Duration(len(o.sessions))*holdIntervalPerVM)
 }
 
 // urgentHoldLoop sends a hold whenever one is requested through s.urgent. It does not
@@ -85,7 +85,7 @@
 	}
 	vm, _ := o.vm(id)
 	hold, known := o.core.Hold(id, time.Now())
-	core := o.core
+	core, timeout := o.core, o.congestion.Timeout(callTimeout)
 	if !known {
 		delete(o.sessions, id)
 	}
@@ -93,12 +93,17 @@
 	if !known {
 		return false, false
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, hold.Wait+holdTimeout)
+	ctx, cancel := context.WithTimeout(o.ctx, hold.Wait+timeout)
 	defer cancel()
+	sent := time.Now()
 	report, result := o.config.VMs.Hold(ctx, vm, hold)
+	delay := time.Since(sent) - hold.Wait
 	o.config.Ordered("hold", result.String())
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if result == schedule.Accepted && delay >= 0 {
+		o.congestion.Observe(delay, time.Now())
+	}
 	if o.core != core {
 		return false, true
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -120,6 +120,11 @@
 	waves         map[int64]*wave
 	moves         map[string]*move
 	stats         Stats
+	// startsInFlight is the number of start orders without an answer yet, and
+	// maxStartsInFlight its limit; zero means none.
+	startsInFlight, maxStartsInFlight int
+	// firstPool is the index of the pool that is planned first.
+	firstPool int
 	// serial is the last serial number that was used in a fencing token.
 	serial int64
 	// restoredRuns lists the runs in the previous owner's record until the next
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -508,3 +508,36 @@
 	g.Expect(h.starts).To(gomega.HaveLen(2))
 	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
 }
+
+// TestLimitStarts guards against more start orders in flight than the owner's link
+// carries, and against a pool that gets none because another one always comes first.
+func TestLimitStarts(t *testing.T) {
+	const limit = 3
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.addVM("vm-other", "other")
+	h.view.Queues["r"] = schedule.Queue{Name: "r", Pool: "other", Attempts: 2, Stretch: 1.6, Slack: 600 * time.Millisecond}
+	h.core.SetView(h.view, h.now)
+	h.listVMs()
+	h.run(time.Second)
+	for _, queue := range []string{"q", "r"} {
+		j := batch(job.ID(queue), 8)
+		j.Queue = queue
+		h.submit(j)
+	}
+	h.core.LimitStarts(limit)
+	startsByJob := make(map[job.ID]int)
+	for range 2 {
+		before := len(h.starts)
+		h.step(50 * time.Millisecond)
+		g.Expect(len(h.starts) - before).To(gomega.Equal(limit))
+	}
+	for _, s := range h.starts {
+		startsByJob[s.Run.Task.Job]++
+	}
+	g.Expect(startsByJob).To(gomega.Equal(map[job.ID]int{"q": limit, "r": limit}))
+	h.core.LimitStarts(0)
+	h.run(8 * time.Second)
+	g.Expect(phase(h, "q")).To(gomega.Equal(job.Completed))
+	g.Expect(phase(h, "r")).To(gomega.Equal(job.Completed))
+}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -37,9 +37,12 @@
 			c.planMoves(now)
 		}
 	}
-	for _, p := range c.sortedPools() {
-		c.planPool(p, now)
+	pools := c.sortedPools()
+	for i := range pools {
+		c.planPool(pools[(i+c.firstPool)%len(pools)], now)
 	}
+	// Each pool gets its turn when few starts may be in flight.
+	c.firstPool++
 	out := c.actions
 	c.actions = nil
 	return out
@@ -91,6 +94,15 @@
 	}
 }
 
+// LimitStarts sets how many start orders may be without an answer at a time; zero means no
+// limit.
+func (c *Core) LimitStarts(inFlight int) { c.maxStartsInFlight = inFlight }
+
+// mayStart reports whether another start order may be given.
+func (c *Core) mayStart() bool {
+	return c.maxStartsInFlight == 0 || c.startsInFlight < c.maxStartsInFlight
+}
+
 // planPool starts waiting tasks of one pool, the most important first.
 func (c *Core) planPool(p *pool, now time.Time) {
 	stages := c.rankedBacklog(p, now)
@@ -101,6 +113,9 @@
 	gated := c.gated(p.name, now)
 	var notFitting []job.Resources
 	for _, s := range stages {
+		if !c.mayStart() {
+			return
+		}
 		// A task of a job from an earlier epoch may still run on a VM that has not reported
 		// to this owner yet. The task waits unless its step allows copies.
 		if gated && s.trackedJob.Epoch < c.epoch && !s.step.Speculative {
@@ -195,7 +210,7 @@
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) {
 			continue
 		}
-		if !c.withinCap(s, 1) {
+		if !c.withinCap(s, 1) || !c.mayStart() {
 			return false
 		}
 		v := c.chooseVM(t, vms)
@@ -220,6 +235,7 @@
 		tj.state.MarkStarted()
 	}
 	c.stats.Starts++
+	c.startsInFlight++
 	c.actions = append(c.actions, Start{
 		VM: v.ID, Run: r.id, Spec: tj.Spec, Checkpoint: t.checkpoint, Fence: r.fence,
 		Until: v.minClock(now) + startWindow, Ticket: t.stage.advice.tickets[v.ID],
