Record the VMs in 32 parts

Change: a VM belongs to one of 32 parts by a hash of its id, and a change rewrites its part. The rest of the record follows once no part is left over, so that an owner that has left has recorded all VMs. A record of an earlier version is read too. Earlier versions can't read the new one: they fail and step down, since they would miss the VMs.

TestFleetRecord; the tests of handovers as before.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -99,6 +99,7 @@
 func (l *Ledger) jobKey(id job.ID) string   { return l.config.Prefix + "job/" + string(id) }
 func (l *Ledger) stateKey(id job.ID) string { return l.config.Prefix + "state/" + string(id) }
 func (l *Ledger) fleetKey() string          { return l.config.Prefix + "fleet" }
+func (l *Ledger) fleetPartsPrefix() string  { return l.config.Prefix + "fleet/" }
 
 // SetTail sets the tail that the next commit must find in the store.
 func (l *Ledger) SetTail(tail StoredTail) {
@@ -128,9 +129,11 @@
 	States []StateRecord
 	// Removed lists the jobs whose records are deleted.
 	Removed []job.ID
-	// Fleet is the encoded record of the VMs that may run tasks. If it is nil, the
-	// stored record stays as it is.
-	Fleet []byte
+	// Fleet is the encoded record of the fleet without its VMs. If it is nil, the stored
+	// record stays as it is. FleetParts are the encoded records of parts of the VMs that
+	// may run tasks, by number; the others stay as they are.
+	Fleet      []byte
+	FleetParts map[int][]byte
 }
 
 // StateRecord is the encoded state of one job.
@@ -152,7 +155,7 @@
 
 // Size returns the number of keys that the batch writes or removes.
 func (b *Batch) Size() int {
-	n := len(b.Jobs) + 2*len(b.Removed)
+	n := len(b.Jobs) + 2*len(b.Removed) + len(b.FleetParts)
 	for _, r := range b.States {
 		n += r.Keys()
 	}
@@ -339,6 +342,9 @@
 	if b.Fleet != nil {
 		out = append(out, store.Put{Key: l.fleetKey(), Value: b.Fleet})
 	}
+	for n, data := range b.FleetParts {
+		out = append(out, store.Put{Key: l.fleetPartsPrefix() + strconv.Itoa(n), Value: data})
+	}
 	return out, nil
 }
 
@@ -352,8 +358,10 @@
 // Snapshot is the complete content of the ledger.
 type Snapshot struct {
 	Jobs []StoredJob
-	// Fleet is the record of the VMs as in [Batch]; nil means that there is none.
+	// Fleet is the record of the fleet as in [Batch]; nil means that there is none.
 	Fleet []byte
+	// FleetParts are the records of the VMs.
+	FleetParts [][]byte
 }
 
 // Load reads all records. It must be called after an election and before the
@@ -372,7 +380,14 @@
 	if err != nil {
 		return Snapshot{}, err
 	}
+	parts, _, err := l.config.Store.Range(ctx, l.fleetPartsPrefix())
+	if err != nil {
+		return Snapshot{}, err
+	}
 	snapshot := Snapshot{Fleet: fleet.Value}
+	for _, part := range parts {
+		snapshot.FleetParts = append(snapshot.FleetParts, part.Value)
+	}
 	encodedStates := make(map[string][]byte, len(states))
 	for _, it := range states {
 		encodedStates[strings.TrimPrefix(it.Key, l.config.Prefix+"state/")] = it.Value
--- /dev/null
+++ b/owner/fleet.go
@@ -0,0 +1,71 @@
+package owner
+
+import (
+	"encoding/json"
+
+	"almondcove/ledger"
+	"almondcove/schedule"
+	"almondcove/store"
+)
+
+// fleetRecord is the stored form of the fleet without its VMs. Earlier versions stored
+// the VMs in it, as a list.
+type fleetRecord struct {
+	schedule.Fleet
+	// VMs holds the list of an earlier version. This version stores an empty object, which
+	// earlier ones can't read: they would miss the VMs, and must not own the jobs.
+	VMs json.RawMessage `json:"vms"`
+}
+
+// noVMs is fleetRecord.VMs as this version stores it.
+const noVMs = `{}`
+
+// encodeFleet returns the records of the fleet in a batch, in their stored form.
+func encodeFleet(r schedule.RecordBatch) (fleet []byte, parts map[int][]byte, err error) {
+	if r.Fleet != nil {
+		fleet, err = json.Marshal(fleetRecord{Fleet: *r.Fleet, VMs: json.RawMessage(noVMs)})
+	}
+	parts = make(map[int][]byte, len(r.Parts))
+	for _, part := range r.Parts {
+		if err == nil {
+			parts[part.Number], err = json.Marshal(part)
+		}
+	}
+	return fleet, parts, err
+}
+
+// decodeFleet returns the fleet in a snapshot. The error is [*store.Invalid].
+func decodeFleet(s ledger.Snapshot) (schedule.Fleet, error) {
+	var record fleetRecord
+	if s.Fleet != nil {
+		if err := json.Unmarshal(s.Fleet, &record); err != nil {
+			return schedule.Fleet{}, &store.Invalid{Call: "fleet", Cause: err}
+		}
+	}
+	out := record.Fleet
+	recorded := make(map[string]bool)
+	for _, data := range s.FleetParts {
+		var part schedule.FleetPart
+		if err := json.Unmarshal(data, &part); err != nil {
+			return schedule.Fleet{}, &store.Invalid{Call: "part of the fleet", Cause: err}
+		}
+		for _, place := range part.VMs {
+			recorded[place.ID] = true
+		}
+		out.VMs = append(out.VMs, part.VMs...)
+	}
+	if len(record.VMs) == 0 || string(record.VMs) == noVMs {
+		return out, nil
+	}
+	var earlier []schedule.Place
+	if err := json.Unmarshal(record.VMs, &earlier); err != nil {
+		return schedule.Fleet{}, &store.Invalid{Call: "fleet", Cause: err}
+	}
+	// A part is newer than the list of an earlier version.
+	for _, place := range earlier {
+		if !recorded[place.ID] {
+			out.VMs = append(out.VMs, place)
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/owner/fleet_test.go
@@ -0,0 +1,49 @@
+package owner
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"almondcove/ledger"
+	"almondcove/schedule"
+)
+
+func placeOf(vm, pool string) schedule.Place {
+	return schedule.Place{VM: schedule.VM{ID: vm, Pool: pool}}
+}
+
+// TestFleetRecord guards against VMs that may run tasks and are missing from what the next
+// owner reads, also while an earlier version's record is being replaced part by part. An
+// earlier version must fail to read a record without its VMs.
+func TestFleetRecord(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet, parts, err := encodeFleet(schedule.RecordBatch{
+		Fleet: &schedule.Fleet{Begun: map[int64][]string{1: {"m"}}, HandedOver: true, Ordered: []string{"n"}},
+		Parts: []schedule.FleetPart{
+			{Number: 3, VMs: []schedule.Place{placeOf("a", "new")}},
+			{Number: 5, VMs: []schedule.Place{placeOf("b", "new")}},
+		},
+	})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got, err := decodeFleet(ledger.Snapshot{Fleet: fleet, FleetParts: [][]byte{parts[3], parts[5]}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got).To(gomega.Equal(schedule.Fleet{
+		VMs:   []schedule.Place{placeOf("a", "new"), placeOf("b", "new")},
+		Begun: map[int64][]string{1: {"m"}}, HandedOver: true, Ordered: []string{"n"},
+	}))
+
+	var asEarlier schedule.Fleet
+	g.Expect(json.Unmarshal(fleet, &asEarlier)).NotTo(gomega.Succeed())
+
+	earlier, err := json.Marshal(schedule.Fleet{VMs: []schedule.Place{placeOf("b", "old"), placeOf("c", "old")}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	got, err = decodeFleet(ledger.Snapshot{Fleet: earlier, FleetParts: [][]byte{parts[3], parts[5]}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.VMs).To(gomega.Equal([]schedule.Place{placeOf("a", "new"), placeOf("b", "new"), placeOf("c", "old")}))
+
+	got, err = decodeFleet(ledger.Snapshot{})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.VMs).To(gomega.BeEmpty())
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -285,9 +284,7 @@
 	for _, r := range commit.recorded.States {
 		commit.batch.States = append(commit.batch.States, ledger.StateRecord{Job: r.Job, Data: r.Data, Final: r.Final()})
 	}
-	if commit.recorded.Fleet != nil {
-		commit.batch.Fleet, err = json.Marshal(commit.recorded.Fleet)
-	}
+	commit.batch.Fleet, commit.batch.FleetParts, err = encodeFleet(commit.recorded)
 	if room := ledger.MaxBatchSize - commit.batch.Size(); room >= 2 {
 		commit.recorded.Removed = o.core.Expired(time.Now(), room/2)
 		commit.batch.Removed = commit.recorded.Removed
--- a/owner/term.go
+++ b/owner/term.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"almondcove/delay"
 	"almondcove/ledger"
 	"almondcove/schedule"
 	"almondcove/shard"
-	"almondcove/store"
 )
 
 // Elected begins a new term. After a reelection the owner continues with its state
@@ -133,11 +131,9 @@
 // if a later election has been won in the meantime. began is when the owner started to
 // read the records.
 func (o *Owner) startCore(t shard.Term, snapshot ledger.Snapshot, began time.Time) error {
-	var fleet schedule.Fleet
-	if snapshot.Fleet != nil {
-		if err := json.Unmarshal(snapshot.Fleet, &fleet); err != nil {
-			return &store.Invalid{Call: "fleet", Cause: err}
-		}
+	fleet, err := decodeFleet(snapshot)
+	if err != nil {
+		return err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -136,8 +136,10 @@
 	// restoredBegun lists, by wave, the machines whose maintenance has begun according
 	// to the previous owner's record.
 	restoredBegun map[int64][]string
-	// fleetChanged is set while the recorded [Fleet] is out of date.
+	// fleetChanged is set while the recorded [Fleet] is out of date, not counting its VMs.
+	// changedParts holds the numbers of the parts of its VMs that are out of date.
 	fleetChanged bool
+	changedParts map[int]bool
 }
 
 // Stats holds the counters of a core.
@@ -260,6 +262,7 @@
 
 		machineOrders:   make(map[string]time.Time),
 		blockedMachines: make(map[string]time.Time),
+		changedParts:    make(map[int]bool),
 	}
 }
 
@@ -269,6 +272,7 @@
 	c.epoch = epoch
 	c.handingOver = false
 	c.fleetChanged = true
+	c.allPlacesChanged()
 	c.serial = 0
 	for _, v := range c.vms {
 		v.serial = 0
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -20,6 +20,7 @@
 // VM may continue its runs from then on.
 func (c *Core) RestoreFleet(f Fleet, recordedBefore time.Time, maxLease time.Duration) {
 	c.blockMachines(f, recordedBefore)
+	c.fleetChanged = c.fleetChanged || f.HandedOver || len(f.VMs) > 0
 	until := recordedBefore.Add(maxLease)
 	c.restoredBegun = f.Begun
 	for n, machines := range f.Begun {
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -28,6 +28,7 @@
 	// no state is recorded yet.
 	records       map[job.ID][]byte
 	recordedFleet schedule.Fleet
+	recordedParts map[int]schedule.FleetPart
 	// workTime is how long each batch task runs.
 	workTime time.Duration
 	// stops and starts list the stop and start orders that were given.
@@ -54,7 +55,7 @@
 func newHarness(t testing.TB, vms int) *harness {
 	h := &harness{
 		t: t, now: time.Unix(1_700_000_000, 0), vms: make(map[string]*standin.Worker), jobs: make(map[job.ID]*job.Job),
-		records: make(map[job.ID][]byte), workTime: time.Second, checker: standin.NewChecker(),
+		records: make(map[job.ID][]byte), recordedParts: make(map[int]schedule.FleetPart), workTime: time.Second, checker: standin.NewChecker(),
 	}
 	h.view = schedule.View{
 		Queues: map[string]schedule.Queue{
@@ -92,7 +93,11 @@
 		Log: hclog.NewNullLogger(),
 	})
 	h.core.SetView(h.view, h.now)
-	h.core.RestoreFleet(h.recordedFleet, h.now, 6500*time.Millisecond)
+	fleet := h.recordedFleet
+	for n := range schedule.FleetParts {
+		fleet.VMs = append(fleet.VMs, h.recordedParts[n].VMs...)
+	}
+	h.core.RestoreFleet(fleet, h.now, 6500*time.Millisecond)
 	for id, data := range h.records {
 		s := job.NewState(h.jobs[id])
 		if data != nil {
@@ -186,9 +191,7 @@
 		for _, s := range r.States {
 			h.records[s.Job] = s.Data
 		}
-		if r.Fleet != nil {
-			h.recordedFleet = *r.Fleet
-		}
+		h.recordFleet(r)
 		h.core.Committed(r)
 		if !h.core.Unrecorded() {
 			return
@@ -196,6 +199,16 @@
 	}
 }
 
+// recordFleet records the changes of the fleet in a batch.
+func (h *harness) recordFleet(r schedule.RecordBatch) {
+	if r.Fleet != nil {
+		h.recordedFleet = *r.Fleet
+	}
+	for _, part := range r.Parts {
+		h.recordedParts[part.Number] = part
+	}
+}
+
 func (h *harness) executePlan() {
 	for _, a := range h.core.Plan(h.now) {
 		switch a := a.(type) {
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -36,7 +36,7 @@
 func (c *Core) endVMWithoutMachine(v *vm, m Machine, now time.Time) {
 	if !v.terminated {
 		c.config.Log.Info("VM ended because its machine no longer runs it", "vm", v.ID, "machine", m.Name, "state", m.State, "runs", len(v.runs), "next", m.VM)
-		c.fleetChanged = true
+		c.placeChanged(v.ID)
 	}
 	v.terminated = true
 	for _, r := range v.sortedRuns() {
@@ -44,7 +44,7 @@
 			continue
 		}
 		c.endRun(r, Lapsed, "", now)
-		c.fleetChanged = true
+		c.placeChanged(v.ID)
 	}
 }
 
@@ -72,7 +72,6 @@
 		return
 	}
 	c.handOverRecorded = true
-	c.fleetChanged = true
 	for _, name := range f.Ordered {
 		c.blockedMachines[name] = recordedBefore.Add(c.config.MachineOrderGap)
 	}
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -22,8 +23,10 @@
 	// Removed lists ended jobs whose records are deleted. The caller fills it from
 	// [Core.Expired].
 	Removed []job.ID
-	// Fleet is the new record of the fleet; nil if that has not changed.
+	// Fleet is the new record of the fleet without its VMs; nil if that has not changed.
+	// Parts are the changed parts of the VMs.
 	Fleet *Fleet
+	Parts []FleetPart
 	// forgettable holds, for each VM, the last end that the VM may forget once the batch
 	// is committed.
 	forgettable map[*vm]endPosition
@@ -47,12 +50,15 @@
 // Final reports whether the job has ended.
 func (r StateRecord) Final() bool { return r.phase.Final() }
 
-// TakeRecords returns a batch of changed states, which take up at most the given number of
-// keys in the store. States of jobs that have ended take two keys each and come first. The
-// batch also holds the record of the fleet if that has changed, which does not count
-// towards the limit.
+// TakeRecords returns a batch of changes, which take up at most the given number of keys in
+// the store: first the parts of the fleet, then states, those of jobs that have ended,
+// which take two keys each, before the others. The batch also holds the rest of the record
+// of the fleet, which does not count towards the limit, if that has changed and no part is
+// left over: an owner that has left must have recorded all VMs.
 func (c *Core) TakeRecords(keys int, now time.Time) (RecordBatch, error) {
 	var out RecordBatch
+	out.Parts = c.takeParts(min(keys, maxPartsPerBatch), now)
+	keys -= len(out.Parts)
 	list := sortedValues(c.dirty, func(a, b *trackedJob) int {
 		return cmp.Or(cmp.Compare(b.state.Phase(), a.state.Phase()), cmp.Compare(a.ID, b.ID))
 	})
@@ -70,10 +76,9 @@
 		out.States = append(out.States, StateRecord{tj.ID, data, tj.version, tj.state.Phase()})
 		delete(c.dirty, tj.ID)
 	}
-	if c.fleetChanged {
+	if c.fleetChanged && len(c.changedParts) == 0 {
 		c.fleetChanged = false
-		fleet := c.Fleet(now)
-		out.Fleet = &fleet
+		out.Fleet = c.fleetWithoutVMs()
 	}
 	out.forgettable = c.forgettableEnds()
 	return out, nil
@@ -138,14 +143,15 @@
 	for _, id := range r.Removed {
 		delete(c.jobs, id)
 	}
-	if r.Fleet == nil {
-		return
+	if r.Fleet != nil {
+		c.handOverRecorded = r.Fleet.HandedOver
 	}
-	c.handOverRecorded = r.Fleet.HandedOver
-	for _, place := range r.Fleet.VMs {
-		if v := c.vms[place.ID]; v != nil {
-			v.recorded = !place.Exact && !v.silent
-			v.noRenewal = place.Exact
+	for _, part := range r.Parts {
+		for _, place := range part.VMs {
+			if v := c.vms[place.ID]; v != nil {
+				v.recorded = !place.Exact && !v.silent
+				v.noRenewal = place.Exact
+			}
 		}
 	}
 }
@@ -166,6 +172,9 @@
 		}
 	}
 	c.fleetChanged = c.fleetChanged || r.Fleet != nil
+	for _, part := range r.Parts {
+		c.changedParts[part.Number] = true
+	}
 }
 
 // Fleet is the record of the VMs and the maintenance waves, which the next owner needs in
@@ -196,29 +205,85 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// Fleet returns the record of the fleet. From then on the core does not renew the lease
-// of a VM that the record lists as exact, so that the next owner can rely on Left.
-func (c *Core) Fleet(now time.Time) Fleet {
-	out := Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
-	if c.handingOver {
-		out.Ordered = slices.Sorted(maps.Keys(c.machineOrders))
+// FleetPart is a part of the record of the VMs. The part of a VM follows from its id, so
+// that a change of one VM rewrites few others.
+type FleetPart struct {
+	Number int     `json:"number"`
+	VMs    []Place `json:"vms"`
+}
+
+const (
+	// FleetParts is the number of parts of the record of the VMs.
+	FleetParts = 32
+	// maxPartsPerBatch bounds the parts in one batch, so that states also find room.
+	maxPartsPerBatch = 16
+)
+
+// partOf returns the number of the part of a VM.
+func partOf(vm string) int {
+	h := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(vm))
+	return int(h.Sum32() % FleetParts)
+}
+
+// placeChanged marks the record of a VM as out of date.
+func (c *Core) placeChanged(vm string) { c.changedParts[partOf(vm)] = true }
+
+// allPlacesChanged marks the records of all VMs as out of date.
+func (c *Core) allPlacesChanged() {
+	for id := range c.vms {
+		c.placeChanged(id)
 	}
-	for _, listed := range c.VMs() {
-		v := c.vms[listed.ID]
-		place := Place{VM: listed, Exact: c.handingOver || v.silent}
-		if place.Exact {
-			v.noRenewal = true
-			for _, r := range v.sortedRuns() {
-				place.Held = append(place.Held, r.id)
-			}
-			// The next owner must not start these tasks again before the VM has told it
-			// of their ends, unless a record does.
-			for _, e := range v.unrecordedEnds {
-				place.Held = append(place.Held, e.run)
-			}
-			place.Left = max(v.leaseEnd.Sub(now), 0)
+}
+
+// takeParts returns at most limit of the changed parts of the record of the VMs.
+func (c *Core) takeParts(limit int, now time.Time) []FleetPart {
+	numbers := slices.Sorted(maps.Keys(c.changedParts))
+	numbers = numbers[:max(min(limit, len(numbers)), 0)]
+	if len(numbers) == 0 {
+		return nil
+	}
+	index := make(map[int]int, len(numbers))
+	out := make([]FleetPart, len(numbers))
+	for i, n := range numbers {
+		delete(c.changedParts, n)
+		index[n] = i
+		out[i] = FleetPart{Number: n, VMs: []Place{}}
+	}
+	for _, v := range c.VMs() {
+		if i, ok := index[partOf(v.ID)]; ok {
+			out[i].VMs = append(out[i].VMs, c.place(c.vms[v.ID], now))
 		}
-		out.VMs = append(out.VMs, place)
+	}
+	return out
+}
+
+// place returns the record of a VM. From then on the core does not renew the lease of a VM
+// that the record lists as exact, so that the next owner can rely on Left.
+func (c *Core) place(v *vm, now time.Time) Place {
+	out := Place{VM: v.VM, Exact: c.handingOver || v.silent}
+	if !out.Exact {
+		return out
+	}
+	v.noRenewal = true
+	for _, r := range v.sortedRuns() {
+		out.Held = append(out.Held, r.id)
+	}
+	// The next owner must not start these tasks again before the VM has told it of their
+	// ends, unless a record does.
+	for _, e := range v.unrecordedEnds {
+		out.Held = append(out.Held, e.run)
+	}
+	out.Left = max(v.leaseEnd.Sub(now), 0)
+	return out
+}
+
+// fleetWithoutVMs returns the record of the fleet without its VMs.
+func (c *Core) fleetWithoutVMs() *Fleet {
+	out := &Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
+	if c.handingOver {
+		out.Ordered = slices.Sorted(maps.Keys(c.machineOrders))
 	}
 	for n, w := range c.waves {
 		for m := range w.maintenanceBegun {
@@ -234,8 +299,11 @@
 func (c *Core) BeginHandover() {
 	c.handingOver = true
 	c.fleetChanged = true
+	c.allPlacesChanged()
 }
 
 // Unrecorded reports whether there are changes to jobs or to the fleet that
 // [Core.TakeRecords] has yet to return.
-func (c *Core) Unrecorded() bool { return len(c.dirty) > 0 || c.fleetChanged }
+func (c *Core) Unrecorded() bool {
+	return len(c.dirty) > 0 || c.fleetChanged || len(c.changedParts) > 0
+}
--- a/schedule/record_test.go
+++ b/schedule/record_test.go
@@ -60,9 +60,10 @@
 		h.hold(id)
 	}
 	h.core.BeginHandover()
-	r, err := h.core.TakeRecords(0, h.now)
+	r, err := h.core.TakeRecords(len(h.vms), h.now)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	h.recordedFleet = *r.Fleet
+	g.Expect(r.States).To(gomega.BeEmpty())
+	h.recordFleet(r)
 	h.changeOwner()
 	ran.SetFault(standin.WorkerDropsOrders)
 	h.run(time.Second)
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -169,12 +169,12 @@
 	delete(c.vms, v.ID)
 	delete(c.gates, v.ID)
 	c.pool(v.Pool).remove(v)
-	c.fleetChanged = true
+	c.placeChanged(v.ID)
 }
 
 func (c *Core) addVM(listed VM) *vm {
 	v := &vm{VM: listed, needsNewFence: true, runs: make(map[Run]*run), pastProcessStarts: make(map[time.Time]bool), processStart: listed.Born}
-	c.fleetChanged = true
+	c.placeChanged(listed.ID)
 	c.vms[listed.ID] = v
 	c.pool(listed.Pool).add(v)
 	return v
@@ -310,7 +310,7 @@
 		return
 	}
 	if !v.silent {
-		c.fleetChanged = true
+		c.placeChanged(v.ID)
 		c.config.Log.Warn("VM does not answer, its lease is no longer renewed", "vm", v.ID, "result", result, "runs", len(v.runs), "fence", h.Fence)
 	}
 	v.silent = true
@@ -333,7 +333,7 @@
 			continue
 		}
 		c.endRun(r, Lapsed, "", now)
-		c.fleetChanged = true
+		c.placeChanged(v.ID)
 	}
 }
 
@@ -355,7 +355,7 @@
 		// remaining lease that it had when it became silent. That record has to be
 		// replaced before the VM may get tasks or a longer lease.
 		v.recorded = false
-		c.fleetChanged = true
+		c.placeChanged(v.ID)
 		c.requestHold(v)
 	}
 	v.silent, v.terminated = false, false
