--- a/schedule/record_test.go
+++ b/schedule/record_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/job"
+	"almondcove/schedule"
 	"almondcove/standin"
 )
 
@@ -72,3 +73,52 @@
 	g.Expect(h.starts).To(gomega.HaveLen(1))
 	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
 }
+
+// TestChangeOfOneVM guards against commits that grow with the fleet: a change of one VM
+// must rewrite the records of few others.
+func TestChangeOfOneVM(t *testing.T) {
+	const vms = 320
+	g := gomega.NewWithT(t)
+	h := newHarness(t, vms)
+	h.run(time.Second)
+	g.Expect(h.core.Unrecorded()).To(gomega.BeFalse())
+	hold, _ := h.core.Hold("vm-7", h.now)
+	h.core.HoldFailed(hold, schedule.Gone, h.now)
+	r, err := h.core.TakeRecords(30, h.now)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(r.Fleet).To(gomega.BeNil())
+	g.Expect(r.Parts).To(gomega.HaveLen(1))
+	g.Expect(len(r.Parts[0].VMs)).To(gomega.BeNumerically("<", vms/10))
+	silent := 0
+	for _, place := range r.Parts[0].VMs {
+		if place.Exact {
+			silent++
+			g.Expect(place.ID).To(gomega.Equal("vm-7"))
+		}
+	}
+	g.Expect(silent).To(gomega.Equal(1))
+}
+
+// TestHandOverRecordsAllVMs guards against an owner that says that it has left before it
+// has recorded every VM.
+func TestHandOverRecordsAllVMs(t *testing.T) {
+	const vms = 320
+	g := gomega.NewWithT(t)
+	h := newHarness(t, vms)
+	h.run(time.Second)
+	h.core.BeginHandover()
+	recorded := 0
+	for h.core.Unrecorded() {
+		r, err := h.core.TakeRecords(10, h.now)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, part := range r.Parts {
+			recorded += len(part.VMs)
+		}
+		if r.Fleet != nil {
+			g.Expect(r.Fleet.HandedOver).To(gomega.BeTrue())
+			g.Expect(recorded).To(gomega.Equal(vms))
+		}
+		h.core.Committed(r)
+	}
+	g.Expect(recorded).To(gomega.Equal(vms))
+}
