--- a/jobs/keys_test.go
+++ b/jobs/keys_test.go
@@ -1,7 +1,6 @@
 package jobs_test
 
 import (
-	"context"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -10,74 +9,18 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/standin"
-	"almondcove/store"
 )
 
-// cutStore is a store that can't be reached while cut is set.
-type cutStore struct {
-	store.Store
-	cut atomic.Bool
-}
-
-func (s *cutStore) err(call string) error {
-	if s.cut.Load() {
-		return &store.Unavailable{Call: call, Cause: context.Canceled}
-	}
-	return nil
-}
-
-func (s *cutStore) Get(ctx context.Context, key string) (store.Item, error) {
-	if err := s.err("get"); err != nil {
-		return store.Item{}, err
-	}
-	return s.Store.Get(ctx, key)
-}
-
-func (s *cutStore) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
-	if err := s.err("range"); err != nil {
-		return nil, 0, err
-	}
-	return s.Store.Range(ctx, prefix)
-}
-
-func (s *cutStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
-	if err := s.err("commit"); err != nil {
-		return 0, err
-	}
-	return s.Store.Commit(ctx, t)
-}
-
-func (s *cutStore) RenewLease(ctx context.Context, id store.LeaseID) error {
-	if err := s.err("renew"); err != nil {
-		return err
-	}
-	return s.Store.RenewLease(ctx, id)
-}
-
-func (s *cutStore) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, time.Duration, error) {
-	if err := s.err("grant"); err != nil {
-		return 0, 0, err
-	}
-	return s.Store.GrantLease(ctx, ttl)
-}
-
-func (s *cutStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
-	if err := s.err("watch"); err != nil {
-		return nil, 0, err
-	}
-	return s.Store.Watch(ctx, prefix, after, wait)
-}
-
 const maxRecordsAge = 3 * time.Second
 
 // startSystemWithKeys starts two entries. The second has a clock and a way to the store
 // of its own.
-func startSystemWithKeys(t *testing.T) (s *system, suspended *atomic.Int64, second *cutStore) {
+func startSystemWithKeys(t *testing.T) (s *system, suspended *atomic.Int64, second *standin.StoreLink) {
 	s = newSystem(t, 0, 2)
 	s.maxRecordsAge = maxRecordsAge
 	s.nodes = append(s.nodes, s.startEntry(0, "a"))
 	time.Sleep(time.Second)
-	second, suspended = &cutStore{Store: s.kv}, &atomic.Int64{}
+	second, suspended = standin.NewStoreLink(s.kv), &atomic.Int64{}
 	began := time.Now()
 	s.store = second
 	s.clock = func() time.Duration { return time.Since(began) + time.Hour + time.Duration(suspended.Load()) }
@@ -118,7 +61,7 @@
 		g := gomega.NewWithT(t)
 		s, _, second := startSystemWithKeys(t)
 		defer s.stopAndCheck()
-		second.cut.Store(true)
+		second.SetFault(standin.LinkCut)
 		expectKeys(g, s, 10*time.Second, true)
 		s.kv.SetFault(standin.KeyValueRefuses)
 		time.Sleep(maxRecordsAge + 50*time.Millisecond)
@@ -137,7 +80,7 @@
 		s, _, second := startSystemWithKeys(t)
 		defer s.stopAndCheck()
 		s.net.Partition(entryAddr(0), entryAddr(1))
-		second.cut.Store(true)
+		second.SetFault(standin.LinkCut)
 		time.Sleep(maxRecordsAge + 50*time.Millisecond)
 		expectKeys(g, s, time.Second, false)
 		s.putJSON("conf/other", "changed")
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,26 +119,6 @@
 	})
 }
 
-// brokenLink is a store whose calls get no answer and have no effect while it is broken.
-type brokenLink struct {
-	store.Store
-	broken atomic.Bool
-}
-
-func (l *brokenLink) Get(ctx context.Context, key string) (store.Item, error) {
-	if l.broken.Load() {
-		return store.Item{}, &store.Uncertain{Call: "get", Cause: context.DeadlineExceeded}
-	}
-	return l.Store.Get(ctx, key)
-}
-
-func (l *brokenLink) Commit(ctx context.Context, t store.Txn) (int64, error) {
-	if l.broken.Load() {
-		return 0, &store.Uncertain{Call: "commit", Cause: context.DeadlineExceeded}
-	}
-	return l.Store.Commit(ctx, t)
-}
-
 // TestCommitOfAnEarlierTerm guards against a batch that is written under the tail of a
 // later term of the same process. Another process has owned the ledger in between, so
 // the batch may be older than what is recorded.
@@ -147,8 +126,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		k := standin.NewKeyValue()
-		link := &brokenLink{Store: k}
-		link.broken.Store(true)
+		link := standin.NewStoreLink(k)
+		link.SetFault(standin.LinkLossy)
 		l := ledger.New(ledger.Config{Store: link, Prefix: prefix, Run: "a"})
 		l.SetTail(writeTail(k, "a", 1))
 		failed := make(chan error, 1)
@@ -157,7 +136,7 @@
 		other := newLedger(k, "b", 2)
 		g.Expect(other.Commit(t.Context(), batchOf("2"))).To(gomega.Succeed())
 		l.SetTail(writeTail(k, "a", 3))
-		link.broken.Store(false)
+		link.SetFault(standin.LinkHealthy)
 		err := <-failed
 		unsettled, _ := errors.Into[*ledger.Unsettled](err)
 		ended, _ := errors.Into[*ledger.TermEnded](err)
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,9 +1,7 @@
 package shard_test
 
 import (
-	"context"
 	"net/netip"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -109,60 +107,6 @@
 	}
 }
 
-// link is a store that one entry reaches only while the link is not cut. While it is
-// slow, commits take slowCommit.
-type link struct {
-	store.Store
-	cut, slow atomic.Bool
-}
-
-const slowCommit = time.Second
-
-func (l *link) err() error {
-	if l.cut.Load() {
-		return &store.Unavailable{Call: "cut", Cause: context.Canceled}
-	}
-	return nil
-}
-
-func (l *link) Get(ctx context.Context, key string) (store.Item, error) {
-	if err := l.err(); err != nil {
-		return store.Item{}, err
-	}
-	return l.Store.Get(ctx, key)
-}
-
-func (l *link) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
-	if err := l.err(); err != nil {
-		return nil, 0, err
-	}
-	return l.Store.Range(ctx, prefix)
-}
-
-func (l *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
-	if err := l.err(); err != nil {
-		return nil, 0, err
-	}
-	return l.Store.Watch(ctx, prefix, after, wait)
-}
-
-func (l *link) Commit(ctx context.Context, t store.Txn) (int64, error) {
-	if err := l.err(); err != nil {
-		return 0, err
-	}
-	if l.slow.Load() {
-		time.Sleep(slowCommit)
-	}
-	return l.Store.Commit(ctx, t)
-}
-
-func (l *link) RenewLease(ctx context.Context, id store.LeaseID) error {
-	if err := l.err(); err != nil {
-		return err
-	}
-	return l.Store.RenewLease(ctx, id)
-}
-
 // TestRestartAfterPledge guards against a second owner: an entry pledges to an owner
 // that can't reach the store, and restarts. Its new process must not campaign before
 // that pledge has expired, although the store shows no owner any more.
@@ -171,14 +115,14 @@
 		g := gomega.NewWithT(t)
 		k := standin.NewKeyValue()
 		began := time.Now()
-		toStore := &link{Store: k}
+		toStore := standin.NewStoreLink(k)
 		a := startShard(toStore, "a", "1", nil)
 		defer a.Close()
 		time.Sleep(time.Second)
 		b := startShard(k, "b", "1", nil)
 		time.Sleep(2 * time.Second)
 		g.Expect(a.HoldsOwnership()).To(gomega.BeTrue())
-		toStore.cut.Store(true)
+		toStore.SetFault(standin.LinkCut)
 		for range 3 {
 			time.Sleep(600 * time.Millisecond)
 			o, _ := a.Owner()
@@ -206,14 +150,14 @@
 		g := gomega.NewWithT(t)
 		k := standin.NewKeyValue()
 		began := time.Now()
-		toStore := &link{Store: k}
+		toStore := standin.NewStoreLink(k)
 		a := startShard(toStore, "a", "1", nil)
 		defer a.Close()
 		time.Sleep(time.Second)
 		b := startShard(k, "b", "1", nil)
 		defer b.Close()
 		time.Sleep(2 * time.Second)
-		toStore.cut.Store(true)
+		toStore.SetFault(standin.LinkCut)
 		c := startShard(k, "c", "1", nil)
 		defer c.Close()
 		for range 40 {
@@ -235,7 +179,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		k := standin.NewKeyValue()
-		toStore := &link{Store: k}
+		toStore := standin.NewStoreLink(k)
 		a := startShard(k, "a", "1", nil)
 		defer a.Close()
 		time.Sleep(time.Second)
@@ -246,7 +190,7 @@
 		g.Expect(old.Name).To(gomega.Equal("a"))
 		g.Expect(b.GivePledge(old)).To(gomega.BeTrue())
 		time.Sleep(3 * time.Second)
-		toStore.slow.Store(true)
+		toStore.SetFault(standin.LinkSlow)
 		g.Expect(a.Deregister(t.Context())).To(gomega.Succeed())
 		time.Sleep(700 * time.Millisecond)
 		g.Expect(b.HoldsOwnership()).To(gomega.BeFalse())
