Record the parts of the fleet in turn

Cause, found in the reading of the change before: with more changed parts than fit into a commit, those with low numbers came first each time. While many VMs change, the others' would never be recorded, and their VMs get no tasks. The rest of the record waited until no part at all had changed.

Change: parts are recorded in the order in which they went out of date, and the rest waits only for those that an owner which leaves, or which replaces an earlier version's record, has to record first.

Measured: TestPartsTakeTurns fails with parts in the order of their numbers.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -137,9 +137,12 @@
 	// to the previous owner's record.
 	restoredBegun map[int64][]string
 	// fleetChanged is set while the recorded [Fleet] is out of date, not counting its VMs.
-	// changedParts holds the numbers of the parts of its VMs that are out of date.
-	fleetChanged bool
-	changedParts map[int]bool
+	// changedParts holds the numbers of the parts of its VMs that are out of date, each with
+	// the sequence number of the change that made it so. lastChange is the last one. All
+	// parts that were out of date at recordAfter are recorded before the rest of the fleet.
+	fleetChanged            bool
+	changedParts            map[int]int64
+	lastChange, recordAfter int64
 }
 
 // Stats holds the counters of a core.
@@ -262,7 +265,7 @@
 
 		machineOrders:   make(map[string]time.Time),
 		blockedMachines: make(map[string]time.Time),
-		changedParts:    make(map[int]bool),
+		changedParts:    make(map[int]int64),
 	}
 }
 
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -30,6 +30,7 @@
 			}
 		}
 	}
+	defer c.allPlacesChanged()
 	for _, place := range f.VMs {
 		v := c.vms[place.ID]
 		if v == nil {
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -53,8 +53,8 @@
 // TakeRecords returns a batch of changes, which take up at most the given number of keys in
 // the store: first the parts of the fleet, then states, those of jobs that have ended,
 // which take two keys each, before the others. The batch also holds the rest of the record
-// of the fleet, which does not count towards the limit, if that has changed and no part is
-// left over: an owner that has left must have recorded all VMs.
+// of the fleet, which does not count towards the limit, if that has changed and may be
+// recorded.
 func (c *Core) TakeRecords(keys int, now time.Time) (RecordBatch, error) {
 	var out RecordBatch
 	out.Parts = c.takeParts(min(keys, maxPartsPerBatch), now)
@@ -76,7 +76,7 @@
 		out.States = append(out.States, StateRecord{tj.ID, data, tj.version, tj.state.Phase()})
 		delete(c.dirty, tj.ID)
 	}
-	if c.fleetChanged && len(c.changedParts) == 0 {
+	if c.fleetChanged && !c.partsMissing() {
 		c.fleetChanged = false
 		out.Fleet = c.fleetWithoutVMs()
 	}
@@ -173,7 +173,8 @@
 	}
 	c.fleetChanged = c.fleetChanged || r.Fleet != nil
 	for _, part := range r.Parts {
-		c.changedParts[part.Number] = true
+		// Zero puts the part before all others.
+		c.changedParts[part.Number] = 0
 	}
 }
 
@@ -228,18 +229,41 @@
 }
 
 // placeChanged marks the record of a VM as out of date.
-func (c *Core) placeChanged(vm string) { c.changedParts[partOf(vm)] = true }
+func (c *Core) placeChanged(vm string) {
+	n := partOf(vm)
+	if _, marked := c.changedParts[n]; !marked {
+		c.lastChange++
+		c.changedParts[n] = c.lastChange
+	}
+}
 
-// allPlacesChanged marks the records of all VMs as out of date.
+// allPlacesChanged marks the records of all VMs as out of date. The rest of the record of
+// the fleet follows them.
 func (c *Core) allPlacesChanged() {
 	for id := range c.vms {
 		c.placeChanged(id)
 	}
+	c.recordAfter = c.lastChange
 }
 
-// takeParts returns at most limit of the changed parts of the record of the VMs.
+// partsMissing reports whether parts are not recorded yet that the rest of the record of
+// the fleet relies on: an owner that has left must have recorded all VMs, and so must one
+// that replaces the record of an earlier version.
+func (c *Core) partsMissing() bool {
+	for _, change := range c.changedParts {
+		if change <= c.recordAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// takeParts returns at most limit of the changed parts of the record of the VMs, those
+// first that have been out of date for longest.
 func (c *Core) takeParts(limit int, now time.Time) []FleetPart {
-	numbers := slices.Sorted(maps.Keys(c.changedParts))
+	numbers := slices.SortedFunc(maps.Keys(c.changedParts), func(a, b int) int {
+		return cmp.Or(cmp.Compare(c.changedParts[a], c.changedParts[b]), cmp.Compare(a, b))
+	})
 	numbers = numbers[:max(min(limit, len(numbers)), 0)]
 	if len(numbers) == 0 {
 		return nil
--- a/schedule/record_test.go
+++ b/schedule/record_test.go
@@ -122,3 +122,32 @@
 	}
 	g.Expect(recorded).To(gomega.Equal(vms))
 }
+
+// TestPartsTakeTurns guards against VMs that are never recorded, and so get no tasks,
+// because others change all the time and few parts fit into a commit.
+func TestPartsTakeTurns(t *testing.T) {
+	const vms = 320
+	g := gomega.NewWithT(t)
+	h := newHarness(t, vms)
+	h.run(time.Second)
+	recorded := make(map[int]int)
+	for range 64 {
+		for _, id := range h.vmIDs() {
+			hold, _ := h.core.Hold(id, h.now)
+			if hold.Until > 0 {
+				h.core.HoldFailed(hold, schedule.Gone, h.now)
+				continue
+			}
+			h.hold(id)
+		}
+		r, err := h.core.TakeRecords(4, h.now)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		h.core.Committed(r)
+		for _, part := range r.Parts {
+			recorded[part.Number]++
+		}
+	}
+	for n := range schedule.FleetParts {
+		g.Expect(recorded[n]).To(gomega.BeNumerically("~", 8, 1), "part %d", n)
+	}
+}
