Sort only the VMs of the parts that are recorded

Cause: each commit with a changed part copied and sorted all VMs, 1,100 on the large site, up to 30 times a second. Change: only those of the parts are sorted. Measured: the tests of schedule, owner and jobs pass; not timed by itself.

--- a/schedule/record.go
+++ b/schedule/record.go
@@ -275,11 +275,14 @@
 		index[n] = i
 		out[i] = FleetPart{Number: n, VMs: []Place{}}
 	}
-	for _, v := range c.VMs() {
+	for _, v := range c.vms {
 		if i, ok := index[partOf(v.ID)]; ok {
-			out[i].VMs = append(out[i].VMs, c.place(c.vms[v.ID], now))
+			out[i].VMs = append(out[i].VMs, c.place(v, now))
 		}
 	}
+	for _, part := range out {
+		slices.SortFunc(part.VMs, func(a, b Place) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	return out
 }
 
