Notice congestion that leaves no call answered in time

Cause, found in the reading: only answers were observed. When the delay rose at once above the timeout, none came, and the load was never reduced.

Change: a majority of calls without an answer counts as a delay of the timeout. A part of the fleet that is cut off is no majority.

Measured: TestSuddenDelay fails without it (the interval stays at 100 ms); TestPartCutOff.

--- a/congestion/congestion.go
+++ b/congestion/congestion.go
@@ -4,9 +4,10 @@
 // It answers a load that grows with the VMs and with the tasks that start: all of these
 // calls go through one entry. Once a link is full, calls wait in its queue until they time
 // out, are sent again, and fill the link further, while healthy VMs count as silent. The
-// delay of the calls that are answered shows this early. A [Controller] then lets holds
-// become rarer, fewer start orders be in flight, and calls take longer before they count
-// as lost. A few VMs that don't answer change nothing, because only answers count.
+// delay of the calls that are answered shows this early, and so does a majority of calls
+// without an answer. A [Controller] then lets holds become rarer, fewer start orders be in
+// flight, and calls take longer before they count as lost. Single VMs that don't answer
+// change nothing, nor does a part of the fleet that is cut off.
 //
 // A controller does no I/O and reads no clock. It is not safe for concurrent use.
 //
@@ -30,6 +31,9 @@
 	// adjustInterval is the time between two adjustments. It is longer than a call takes
 	// on a link with little delay, so that the effect of one is seen before the next.
 	adjustInterval = 100 * time.Millisecond
+	// minLost is how many calls without an answer in one adjustInterval count, if they are
+	// the majority.
+	minLost = 4
 	// delayGain is the weight of one more observation in the mean.
 	delayGain = 1.0 / 16
 	// staleAfter is the time without an observation after which the mean counts for
@@ -64,6 +68,8 @@
 	delay      time.Duration
 	observedAt time.Time
 	adjustedAt time.Time
+	// answered and lost count the calls since the last adjustment.
+	answered, lost int
 	// stretch is the factor of the interval between two holds of a VM.
 	stretch float64
 	// window is the greatest number of start orders in flight.
@@ -82,11 +88,29 @@
 		c.delay = delay
 	}
 	c.observedAt = now
+	c.answered++
 	c.delay += time.Duration(delayGain * float64(delay-c.delay))
+	c.adjust(now)
+}
+
+// ObserveLost records that a call got no answer within timeout.
+func (c *Controller) ObserveLost(timeout time.Duration, now time.Time) {
+	c.lost++
+	if c.lost > c.answered && c.lost >= minLost {
+		// The answers that came in time no longer tell how late the others are.
+		c.delay = max(c.delay, timeout)
+		c.observedAt = now
+	}
+	c.adjust(now)
+}
+
+// adjust adapts the load to the mean delay, once in adjustInterval.
+func (c *Controller) adjust(now time.Time) {
 	if now.Sub(c.adjustedAt) < adjustInterval {
 		return
 	}
 	c.adjustedAt = now
+	c.answered, c.lost = 0, 0
 	if c.delay <= highDelay {
 		c.stretch = max(c.stretch*lowerStretch, 1)
 		c.window = min(c.window+growWindow, maxWindow)
@@ -106,7 +130,7 @@
 // Delay returns the mean delay of calls.
 func (c *Controller) Delay() time.Duration { return c.delay }
 
-// Congested reports whether the last adjustment has reduced the load.
+// Congested reports whether calls take so long that the load is reduced.
 func (c *Controller) Congested() bool { return c.delay > highDelay }
 
 // Interval returns the least time between two holds of a VM, where base is the one on an
--- a/congestion/congestion_test.go
+++ b/congestion/congestion_test.go
@@ -46,8 +46,10 @@
 		answered := inFlight * min(step.Seconds()/max(delay, step).Seconds(), 1)
 		inFlight -= answered
 		inTime := delay < timeout
-		if inTime && c != nil {
+		if c != nil && inTime {
 			c.Observe(delay+2*time.Millisecond, now)
+		} else if c != nil {
+			c.ObserveLost(timeout, now)
 		}
 		if now.Sub(begin) > 5*time.Second {
 			if inTime {
@@ -112,3 +114,41 @@
 	g.Expect(c.Timeout(baseTimeout)).To(gomega.Equal(1500 * time.Millisecond))
 	g.Expect(c.Window()).To(gomega.Equal(8))
 }
+
+// TestSuddenDelay guards against a load that is never reduced because no call is answered
+// in time any more, so that no delay is observed.
+func TestSuddenDelay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := congestion.New()
+	now := time.Unix(1_700_000_000, 0)
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		c.Observe(3*time.Millisecond, now)
+	}
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		c.ObserveLost(c.Timeout(baseTimeout), now)
+	}
+	g.Expect(c.Interval(baseInterval)).To(gomega.Equal(time.Second))
+	g.Expect(c.Timeout(baseTimeout)).To(gomega.Equal(1500 * time.Millisecond))
+	g.Expect(c.Window()).To(gomega.Equal(8))
+}
+
+// TestPartCutOff checks that a third of the VMs, cut off with their data centre, does not
+// slow down the calls to the others.
+func TestPartCutOff(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := congestion.New()
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 3000 {
+		now = now.Add(time.Millisecond)
+		if i%3 == 0 {
+			c.ObserveLost(c.Timeout(baseTimeout), now)
+		} else {
+			c.Observe(3*time.Millisecond, now)
+		}
+	}
+	g.Expect(c.Congested()).To(gomega.BeFalse())
+	g.Expect(c.Interval(baseInterval)).To(gomega.Equal(baseInterval))
+	g.Expect(c.Timeout(baseTimeout)).To(gomega.Equal(baseTimeout))
+}
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -71,14 +71,23 @@
 	return o.congestion.Timeout(callTimeout)
 }
 
+// observeCall tells the congestion control how long an answer took, or that there was
+// none. The caller holds o.mu.
+func (o *Owner) observeCall(r schedule.Result, took time.Duration, now time.Time) {
+	switch r {
+	case schedule.Accepted:
+		o.congestion.Observe(took, now)
+	case schedule.Unanswered:
+		o.congestion.ObserveLost(took, now)
+	}
+}
+
 func (o *Owner) orderStart(core *schedule.Core, v schedule.VM, a schedule.Start) {
 	sent := time.Now()
 	sendOrder(o, core, "start", o.callTimeout(), schedule.Unsent,
 		func(ctx context.Context) schedule.Result { return o.config.VMs.Start(ctx, v, a) },
 		func(r schedule.Result, now time.Time) {
-			if r == schedule.Accepted {
-				o.congestion.Observe(now.Sub(sent), now)
-			}
+			o.observeCall(r, now.Sub(sent), now)
 			core.Started(a, r, now)
 		})
 }
--- a/owner/session.go
+++ b/owner/session.go
@@ -101,8 +101,9 @@
 	o.config.Ordered("hold", result.String())
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if result == schedule.Accepted && delay >= 0 {
-		o.congestion.Observe(delay, time.Now())
+	// An answer that comes before the wait is over does not tell its delay.
+	if delay >= 0 {
+		o.observeCall(result, delay, time.Now())
 	}
 	if o.core != core {
 		return false, true
