--- /dev/null
+++ b/schedule/fleet.go
@@ -0,0 +1,160 @@
+package schedule
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Fleet is the record of the VMs and the maintenance waves, which the next owner needs in
+// addition to the jobs.
+type Fleet struct {
+	// VMs lists the VMs that may run tasks.
+	VMs []Place `json:"vms"`
+	// Begun lists, by wave, the machines whose maintenance has begun.
+	Begun map[int64][]string `json:"begun,omitempty"`
+	// HandedOver is set if the owner has left and gives no more orders. Ordered then lists
+	// the machines that it has given orders for within [Config.MachineOrderGap].
+	HandedOver bool     `json:"left,omitempty"`
+	Ordered    []string `json:"ordered,omitempty"`
+}
+
+// Place is the record of one VM that may run tasks.
+type Place struct {
+	VM
+	// Exact is set if the VM can run nothing but Held. That holds for a VM that does not
+	// answer, because it gets no new runs and no lease renewal, and for every VM during a
+	// handover.
+	Exact bool `json:"exact,omitempty"`
+	// Held lists the runs that may exist on the VM, and those whose ends may not be
+	// recorded. It is empty unless Exact is set.
+	Held []Run `json:"held,omitempty"`
+	// Left is the longest time that the runs in Held may continue after the record was
+	// made.
+	Left time.Duration `json:"left,omitempty"`
+}
+
+// FleetPart is a part of the record of the VMs. The part of a VM follows from its id, so
+// that a change of one VM rewrites few others.
+type FleetPart struct {
+	Number int     `json:"number"`
+	VMs    []Place `json:"vms"`
+}
+
+const (
+	// FleetParts is the number of parts of the record of the VMs.
+	FleetParts = 32
+	// maxPartsPerBatch bounds the parts in one batch, so that states also find room.
+	maxPartsPerBatch = 16
+)
+
+// partOf returns the number of the part of a VM.
+func partOf(vm string) int {
+	h := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = h.Write([]byte(vm))
+	return int(h.Sum32() % FleetParts)
+}
+
+// placeChanged marks the record of a VM as out of date.
+func (c *Core) placeChanged(vm string) {
+	n := partOf(vm)
+	if _, marked := c.changedParts[n]; !marked {
+		c.lastChange++
+		c.changedParts[n] = c.lastChange
+	}
+}
+
+// allPlacesChanged marks the records of all VMs as out of date. The rest of the record of
+// the fleet follows them.
+func (c *Core) allPlacesChanged() {
+	for id := range c.vms {
+		c.placeChanged(id)
+	}
+	c.recordAfter = c.lastChange
+}
+
+// partsMissing reports whether parts are not recorded yet that the rest of the record of
+// the fleet relies on: an owner that has left must have recorded all VMs, and so must one
+// that replaces the record of an earlier version.
+func (c *Core) partsMissing() bool {
+	for _, change := range c.changedParts {
+		if change <= c.recordAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// takeParts returns at most limit of the changed parts of the record of the VMs, those
+// first that have been out of date for longest.
+func (c *Core) takeParts(limit int, now time.Time) []FleetPart {
+	numbers := slices.SortedFunc(maps.Keys(c.changedParts), func(a, b int) int {
+		return cmp.Or(cmp.Compare(c.changedParts[a], c.changedParts[b]), cmp.Compare(a, b))
+	})
+	numbers = numbers[:max(min(limit, len(numbers)), 0)]
+	if len(numbers) == 0 {
+		return nil
+	}
+	index := make(map[int]int, len(numbers))
+	out := make([]FleetPart, len(numbers))
+	for i, n := range numbers {
+		delete(c.changedParts, n)
+		index[n] = i
+		out[i] = FleetPart{Number: n, VMs: []Place{}}
+	}
+	for _, v := range c.vms {
+		if i, ok := index[partOf(v.ID)]; ok {
+			out[i].VMs = append(out[i].VMs, c.place(v, now))
+		}
+	}
+	for _, part := range out {
+		slices.SortFunc(part.VMs, func(a, b Place) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return out
+}
+
+// place returns the record of a VM. From then on the core does not renew the lease of a VM
+// that the record lists as exact, so that the next owner can rely on Left.
+func (c *Core) place(v *vm, now time.Time) Place {
+	out := Place{VM: v.VM, Exact: c.handingOver || v.silent}
+	if !out.Exact {
+		return out
+	}
+	v.noRenewal = true
+	for _, r := range v.sortedRuns() {
+		out.Held = append(out.Held, r.id)
+	}
+	// The next owner must not start these tasks again before the VM has told it of their
+	// ends, unless a record does.
+	for _, e := range v.unrecordedEnds {
+		out.Held = append(out.Held, e.run)
+	}
+	out.Left = max(v.leaseEnd.Sub(now), 0)
+	return out
+}
+
+// fleetWithoutVMs returns the record of the fleet without its VMs.
+func (c *Core) fleetWithoutVMs() *Fleet {
+	out := &Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
+	if c.handingOver {
+		out.Ordered = slices.Sorted(maps.Keys(c.machineOrders))
+	}
+	for n, w := range c.waves {
+		for m := range w.maintenanceBegun {
+			out.Begun[n] = append(out.Begun[n], m)
+		}
+		slices.Sort(out.Begun[n])
+	}
+	return out
+}
+
+// BeginHandover prepares for a planned change of owner. From then until [Core.SetEpoch],
+// the core plans nothing, and the record of the fleet lists every VM as exact.
+func (c *Core) BeginHandover() {
+	c.handingOver = true
+	c.fleetChanged = true
+	c.allPlacesChanged()
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -293,3 +293,34 @@
 	p.updatedAt = now
 	return job.Resources{CPU: int64(p.cpu), Memory: int64(p.memory), GPU: demand.GPU}
 }
+
+// PoolState is the state of one pool.
+type PoolState struct {
+	Name string
+	// Usable is the number of VMs that accept tasks, Silent the number of VMs that do
+	// not answer holds, and Closed the number of all other VMs.
+	Usable, Silent, Closed int
+	// Waiting is the number of tasks that wait for a VM.
+	Waiting int
+}
+
+// Pools returns the states of all pools, ordered by name.
+func (c *Core) Pools(now time.Time) []PoolState {
+	var out []PoolState
+	for _, p := range c.sortedPools() {
+		s := PoolState{Name: p.name}
+		for _, v := range p.vms {
+			switch {
+			case v.silent:
+				s.Silent++
+			case c.acceptsTasks(v, now):
+				s.Usable++
+			default:
+				s.Closed++
+			}
+		}
+		s.Waiting = p.waitingTasks()
+		out = append(out, s)
+	}
+	return out
+}
