Let restarted entries campaign at once after an owner that has left

Change: an owner that leaves or steps down records its epoch with the removal of its key. No pledge to it binds any more, so nobody waits. An entry that steps down without being the owner writes nothing; it could remove a later owner's key.

--- a/shard/election.go
+++ b/shard/election.go
@@ -71,9 +71,11 @@
 	now := s.config.Clock()
 	// A previous process of this entry may have given a pledge that this process does
 	// not know. A new process therefore does not campaign until such a pledge has
-	// expired, unless its previous process was the owner itself, or there was no owner.
+	// expired, unless its previous process was the owner itself, or the last owner, if
+	// there has been one, has left.
 	namesSelf := s.owner.Name == s.config.Self.Name
-	mayHavePledged := s.ownedBefore && now-s.startedAt < PledgeDuration && !namesSelf
+	ownerMayAct := max(s.tailEpoch, s.owner.Epoch) > s.vacatedEpoch
+	mayHavePledged := ownerMayAct && now-s.startedAt < PledgeDuration && !namesSelf
 	if now < s.pledgedUntil || mayHavePledged {
 		return false
 	}
@@ -101,6 +103,7 @@
 	}
 	s.mu.Lock()
 	knownOwner, deadRun, lease := s.owner, s.deadRun, s.lease
+	s.tailEpoch = max(s.tailEpoch, lastTail.Epoch)
 	s.mu.Unlock()
 	if !s.mayReplace(ownerItem, deadRun) {
 		s.applyOwner(ownerItem)
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -81,29 +81,28 @@
 	return nil
 }
 
-// readOwnedBefore finds out, once in the life of the process, whether the jobs have had
-// an owner.
-func (s *Shard) readOwnedBefore(ctx context.Context) error {
+// readTailEpoch finds out, once before the process registers, which owner was the last.
+func (s *Shard) readTailEpoch(ctx context.Context) error {
 	s.mu.Lock()
 	known := s.tailRead
 	s.mu.Unlock()
 	if known {
 		return nil
 	}
-	item, _, err := s.readTail(ctx)
+	_, tail, err := s.readTail(ctx)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ownedBefore, s.tailRead = item.Rev != 0, true
+	s.tailEpoch, s.tailRead = tail.Epoch, true
 	return nil
 }
 
 // register writes this entry's registration under a new lease and reads those of
 // the other entries.
 func (s *Shard) register(ctx context.Context) error {
-	if err := s.readOwnedBefore(ctx); err != nil {
+	if err := s.readTailEpoch(ctx); err != nil {
 		return err
 	}
 	sent := s.config.Clock()
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -157,9 +158,11 @@
 	// candidateEpoch is the epoch of an election of this entry whose transaction may still
 	// take effect; zero means none.
 	candidateEpoch int64
-	// ownedBefore reports whether the jobs had an owner before this process registered.
-	// It is valid while tailRead is set.
-	ownedBefore, tailRead bool
+	// tailEpoch is the epoch in the tail when it was last read, and vacatedEpoch that of
+	// the last owner that has recorded that it has left. tailRead is set once the tail has
+	// been read.
+	tailEpoch, vacatedEpoch int64
+	tailRead                bool
 	// deadRun is the Run of a process that is known to have ended; see [Shard.MarkDead].
 	deadRun string
 }
@@ -189,6 +192,8 @@
 
 func (s *Shard) ownerKey() string { return s.livePrefix() + "owner" }
 
+func (s *Shard) vacatedKey() string { return s.livePrefix() + "vacated" }
+
 func (s *Shard) memberKey() string { return s.livePrefix() + "member/" + s.config.Self.Name }
 
 // Owner returns the last known owner and whether there is one.
@@ -237,27 +242,43 @@
 	s.leaving = true
 	lease := s.lease
 	s.lease = 0
+	wasOwner, rev, epoch := s.isOwner, s.ownerRev, s.ownEpoch
 	s.mu.Unlock()
 	s.loseOwnership("leaving")
 	if lease == 0 {
 		return nil
 	}
+	if wasOwner {
+		if err := s.vacate(ctx, rev, epoch); err != nil {
+			s.config.Log.Warn("owner key not removed; it lapses with the registration", "error", err)
+		}
+	}
 	return s.config.Store.RevokeLease(ctx, lease)
 }
 
+// vacate removes the owner key, as this process wrote it at revision rev, and records the
+// epoch of the owner that has left: no pledge to it binds any more.
+func (s *Shard) vacate(ctx context.Context, rev, epoch int64) error {
+	_, err := s.config.Store.Commit(ctx, store.Txn{
+		Guards:  []store.Guard{{Key: s.ownerKey(), Rev: rev}},
+		Puts:    []store.Put{{Key: s.vacatedKey(), Value: []byte(strconv.FormatInt(epoch, 10))}},
+		Removes: []string{s.ownerKey()},
+	})
+	return err
+}
+
 // StepDown gives up ownership but keeps the registration. If there are other
 // entries, this one does not campaign for [TTL].
 func (s *Shard) StepDown(ctx context.Context, reason string) error {
 	s.mu.Lock()
-	rev := s.ownerRev
 	s.steppedDownAt = s.config.Clock()
+	wasOwner, rev, epoch := s.isOwner, s.ownerRev, s.ownEpoch
 	s.mu.Unlock()
+	if !wasOwner {
+		return nil
+	}
 	s.loseOwnership(reason)
-	_, err := s.config.Store.Commit(ctx, store.Txn{
-		Guards:  []store.Guard{{Key: s.ownerKey(), Rev: rev}},
-		Removes: []string{s.ownerKey()},
-	})
-	return err
+	return s.vacate(ctx, rev, epoch)
 }
 
 // loseOwnership marks this process as no longer the owner. If it was the owner, it
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -142,6 +143,35 @@
 	})
 }
 
+// TestRestartBeforeHandover guards against jobs that stay without an owner, or get a weak
+// one, because entries that have just restarted wait for pledges to an owner that has left.
+func TestRestartBeforeHandover(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		quit func(*shard.Shard, context.Context) error
+	}{
+		{"leaving", (*shard.Shard).Deregister},
+		{"stepping down", func(s *shard.Shard, ctx context.Context) error { return s.StepDown(ctx, "test") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				k := standin.NewKeyValue()
+				a := startShard(k, "a", "1", nil)
+				defer a.Close()
+				time.Sleep(5 * time.Second)
+				b := startShard(k, "b", "2", nil)
+				defer b.Close()
+				time.Sleep(500 * time.Millisecond)
+				g.Expect(c.quit(a, t.Context())).To(gomega.Succeed())
+				time.Sleep(500 * time.Millisecond)
+				g.Expect(b.HoldsOwnership()).To(gomega.BeTrue())
+				g.Expect(a.HoldsOwnership()).To(gomega.BeFalse())
+			})
+		})
+	}
+}
+
 // TestPledgesOfUnknownEntries guards against an owner that goes on by pledges although
 // it doesn't know all entries: one has registered after the owner was cut off from the
 // store, and may campaign.
--- a/shard/watch.go
+++ b/shard/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -48,9 +49,12 @@
 	owner := store.Item{Key: s.ownerKey()}
 	members := make(map[string]Member)
 	for _, it := range items {
-		if it.Key == s.ownerKey() {
+		switch it.Key {
+		case s.ownerKey():
 			owner = it
-		} else {
+		case s.vacatedKey():
+			s.applyVacated(it)
+		default:
 			s.addMember(members, it)
 		}
 	}
@@ -95,6 +99,10 @@
 		s.applyOwner(item)
 		return
 	}
+	if e.Key == s.vacatedKey() {
+		s.applyVacated(e.Item)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.Deleted {
@@ -104,6 +112,18 @@
 	s.addMember(s.members, e.Item)
 }
 
+// applyVacated applies the record of the last owner that has left.
+func (s *Shard) applyVacated(it store.Item) {
+	epoch, err := strconv.ParseInt(string(it.Value), 10, 64)
+	if err != nil {
+		s.config.Log.Warn("failed to decode the epoch of the owner that has left", "error", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vacatedEpoch = max(s.vacatedEpoch, epoch)
+}
+
 // applyOwner applies the owner key as it was read from the store. An item without a
 // revision means that there is no such key.
 func (s *Shard) applyOwner(item store.Item) {
