Log why service tasks are stopped and what the owner takes for working

Change: three log lines, the reason for each stop order kept with the run, the availability of a task as a named state instead of a yes or no. No decision changes.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -508,7 +508,7 @@
 	for _, s := range tj.stages {
 		for _, t := range s.tasks {
 			for _, r := range slices.Clone(t.runs) {
-				c.stopRun(r, now)
+				c.stopRun(r, stopJobEnded, now)
 			}
 		}
 		c.closeStage(s)
--- /dev/null
+++ b/schedule/disruption.go
@@ -0,0 +1,122 @@
+package schedule
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// disruptionAllowed reports whether the availability budget of its step lets the
+// scheduler stop a service task now.
+func (c *Core) disruptionAllowed(t *task, now time.Time) bool {
+	if !t.stage.step.Budgeted {
+		return true
+	}
+	unavailable := 0
+	for _, other := range t.stage.tasks {
+		if other != t && other.availability(now) != available {
+			unavailable++
+		}
+	}
+	return unavailable < t.stage.step.MaxUnavailable
+}
+
+// reportMaxAge is how long after a VM's last answer its service tasks still count as
+// available.
+const reportMaxAge = 2500 * time.Millisecond
+
+// availability is what is known of whether a service task is at work. It is for budgets: a
+// task that may not be at work counts as unavailable.
+type availability int
+
+// The availabilities of a service task.
+const (
+	// available is a task that is known to be at work.
+	available availability = iota
+	// waiting is a task without a run.
+	waiting
+	// starting is a task whose run has not reported that it is at work.
+	starting
+	// stopping is a task with a run that was ordered to stop, and maybeStopping one with a
+	// run that the previous owner may have ordered to stop.
+	stopping
+	maybeStopping
+	// unreachable is a task with a run on a VM that does not answer, and unconfirmed one
+	// with a run on a VM that has not answered for [reportMaxAge].
+	unreachable
+	unconfirmed
+)
+
+var availabilityNames = [...]string{"available", "waiting", "starting", "stopping", "maybe stopping", "unreachable", "unconfirmed"}
+
+func (a availability) String() string { return availabilityNames[a] }
+
+// availability returns the availability of a service task. The worst of its runs decides.
+func (t *task) availability(now time.Time) availability {
+	switch {
+	case len(t.runs) == 0:
+		return waiting
+	case t.workingSince.IsZero():
+		return starting
+	}
+	worst := available
+	for _, r := range t.runs {
+		switch {
+		case r.state == runStopping:
+			return stopping
+		case now.Before(r.maybeStoppingUntil):
+			worst = maybeStopping
+		case r.vm.silent:
+			worst = unreachable
+		case now.Sub(r.vm.lastAnswer) > reportMaxAge:
+			worst = unconfirmed
+		}
+	}
+	return worst
+}
+
+// stopReason is why a run is ordered to stop.
+type stopReason int
+
+// The reasons for orders to stop a run.
+const (
+	// stopJobEnded is for a run of a job that was cancelled or has failed.
+	stopJobEnded stopReason = iota
+	// stopTaskDone is for a run of a task that another run has completed.
+	stopTaskDone
+	// stopUnneeded is for a run of a previous owner whose task has another run, is done, or
+	// belongs to a job that has ended.
+	stopUnneeded
+	// stopStalled is for a run that makes no progress.
+	stopStalled
+	// stopDraining is for a run on a VM that is about to leave.
+	stopDraining
+	// stopMaintenance is for a run on a VM whose machine is due for maintenance.
+	stopMaintenance
+)
+
+var stopReasonNames = [...]string{"job ended", "task done", "unneeded", "stalled", "VM draining", "maintenance"}
+
+func (s stopReason) String() string { return stopReasonNames[s] }
+
+// logServiceStop logs the first order to stop a run of a service task, with the other tasks
+// of its step that are unavailable.
+func (c *Core) logServiceStop(r *run, reason stopReason, now time.Time) {
+	step := r.task.stage.step
+	if !step.Service {
+		return
+	}
+	unavailable := make(map[availability][]string)
+	n := 0
+	for _, other := range r.task.stage.tasks {
+		if a := other.availability(now); other != r.task && a != available {
+			unavailable[a] = append(unavailable[a], strconv.Itoa(other.id.Index))
+			n++
+		}
+	}
+	c.config.Log.Info("service task ordered to stop", "run", r.id, "vm", r.vm.ID, "reason", reason, "state", r.state,
+		"at_work", now.Sub(r.task.workingSince).Milliseconds(), "answered", now.Sub(r.vm.lastAnswer).Milliseconds(),
+		"others", n, "allowed", step.MaxUnavailable, "waiting", unavailable[waiting], "starting", unavailable[starting],
+		"stopping", slices.Concat(unavailable[stopping], unavailable[maybeStopping]),
+		"unreachable", slices.Concat(unavailable[unreachable], unavailable[unconfirmed]))
+}
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -146,6 +146,24 @@
 	return !o.rejectedAt.IsZero() && !o.outcomeUnknown && listedAt.After(o.rejectedAt) && machine.State == Up
 }
 
+// logMachineOrder logs an order that ends whatever runs on a machine, if the machine is not
+// known to be empty: the list shows another VM on it than the one that was emptied, or that
+// VM has runs.
+func (c *Core) logMachineOrder(name string, o machineOrder, order string, now time.Time) {
+	m := c.machines[name]
+	runs := 0
+	for _, id := range slices.Compact([]string{o.vm, m.VM}) {
+		if v := c.vms[id]; v != nil {
+			runs += len(v.runs)
+		}
+	}
+	if m.VM == o.vm && runs == 0 {
+		return
+	}
+	c.config.Log.Warn("order for a machine that may run tasks", "machine", name, "order", order, "vm", o.vm, "listed", m.VM,
+		"state", m.State, "pool", m.Pool, "age", now.Sub(c.machinesListedAt).Milliseconds(), "runs", runs)
+}
+
 func (o *machineOrder) retryDue(now time.Time) bool { return now.Sub(o.orderedAt) > machineOrderRetry }
 
 // MachineResult is the result of an order for a machine.
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -244,6 +244,7 @@
 // sendMove orders a move, or repeats the order.
 func (c *Core) sendMove(machine string, m *move, now time.Time) {
 	m.orderedAt = now
+	c.logMachineOrder(machine, m.machineOrder, "move", now)
 	c.machineOrders[machine] = now
 	c.actions = append(c.actions, Move{Machine: machine, Pool: m.toPool})
 }
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -84,10 +84,10 @@
 	c.tickTrial(v, now)
 	for _, r := range v.runs {
 		if r.state == runStopping {
-			c.stopRun(r, now)
+			c.stopRun(r, r.stopReason, now)
 		}
 		if v.Draining && r.task.stage.step.Service && r.state == runRunning {
-			c.stopRun(r, now)
+			c.stopRun(r, stopDraining, now)
 		}
 	}
 	if !v.listed && len(v.runs) == 0 && now.Sub(v.unlistedAt) > unlistedGracePeriod && now.After(v.leaseEnd) && c.gates[v.ID] == nil {
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -51,7 +51,7 @@
 		c.config.Log.Info("run stalled", "run", r.id, "vm", v.ID, "percent", r.percent,
 			"after", now.Sub(r.startSentAt).Milliseconds(), "still", now.Sub(r.progressedAt).Milliseconds(), "copies", t.stage.step.Speculative)
 		if !t.stage.step.Speculative {
-			c.stopRun(r, now)
+			c.stopRun(r, stopStalled, now)
 			continue
 		}
 		c.startCopy(t, now)
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -48,8 +48,9 @@
 	pace int
 	// progressedAt is when the reported progress last changed.
 	progressedAt time.Time
-	// stopSentAt is when the last stop order was given.
+	// stopSentAt is when the last stop order was given, and stopReason why.
 	stopSentAt time.Time
+	stopReason stopReason
 	// maybeStoppingUntil is set for a run of a previous owner, which may have ordered
 	// the run to stop. Until that time the run may be stopping although the VM reports
 	// it as running.
@@ -90,7 +91,7 @@
 	v.extendLease(now, c.config.MaxLease)
 	if !wanted {
 		c.config.Log.Info("unneeded run of a previous owner stopped", "run", p.Run, "vm", v.ID, "phase", tj.state.Phase())
-		c.stopRun(r, now)
+		c.stopRun(r, stopUnneeded, now)
 		return
 	}
 	tj.state.MarkStarted()
@@ -277,7 +278,7 @@
 		return
 	}
 	for _, r := range slices.Clone(t.runs) {
-		c.stopRun(r, now)
+		c.stopRun(r, stopTaskDone, now)
 	}
 }
 
@@ -390,10 +391,13 @@
 
 // stopRun orders a VM to stop a run. It does not repeat the order within
 // [stopRetryInterval].
-func (c *Core) stopRun(r *run, now time.Time) {
+func (c *Core) stopRun(r *run, reason stopReason, now time.Time) {
 	if r.state == runStopping && now.Sub(r.stopSentAt) < stopRetryInterval {
 		return
 	}
+	if r.state != runStopping {
+		c.logServiceStop(r, reason, now)
+	}
 	if r.state == runSent || r.state == runUnsettled {
 		// The start order may still be in transit; a hold under a higher fencing
 		// token settles it.
@@ -401,7 +405,7 @@
 		c.requestHold(r.vm)
 	}
 	r.state = runStopping
-	r.stopSentAt = now
+	r.stopSentAt, r.stopReason = now, reason
 	c.actions = append(c.actions, Stop{VM: r.vm.ID, Run: r.id, Fence: r.vm.fence(c.epoch)})
 }
 
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -194,7 +194,7 @@
 // updateVM replaces the listed attributes of a VM.
 func (c *Core) updateVM(v *vm, listed VM, now time.Time) {
 	if listed.Draining != v.Draining || !v.listed {
-		c.config.Log.Info("VM listed by the platform", "vm", listed.ID, "pool", listed.Pool, "draining", listed.Draining, "centre", listed.Centre)
+		c.config.Log.Info("VM listed by the platform", "vm", listed.ID, "pool", listed.Pool, "draining", listed.Draining, "centre", listed.Centre, "address", listed.Address)
 	}
 	if v.Pool != listed.Pool {
 		c.pool(v.Pool).remove(v)
@@ -441,6 +441,9 @@
 		t.workingSince = time.Time{}
 	case t.workingSince.IsZero():
 		t.workingSince = now
+		if t.stage.step.Service {
+			c.config.Log.Info("service task at work", "run", r.id, "vm", r.vm.ID, "after", now.Sub(r.startSentAt).Milliseconds())
+		}
 	}
 }
 
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 )
 
@@ -239,6 +238,7 @@
 
 func (c *Core) orderMaintenance(w *wave, mm *machineMaintenance, name string, now time.Time) {
 	mm.orderedAt = now
+	c.logMachineOrder(name, mm.machineOrder, "maintenance", now)
 	c.machineOrders[name] = now
 	c.actions = append(c.actions, Maintain{Machine: name, Wave: w.Number})
 }
@@ -255,11 +255,11 @@
 		switch {
 		case step.Service:
 			if r.state == runRunning && c.disruptionAllowed(r.task, now) && (late || c.placeable(r.task, now)) {
-				c.stopRun(r, now)
+				c.stopRun(r, stopMaintenance, now)
 			}
 		case step.WritesCheckpoints || now.Sub(mm.chosenAt) > drainTimeout:
 			if r.state == runRunning {
-				c.stopRun(r, now)
+				c.stopRun(r, stopMaintenance, now)
 			}
 		}
 	}
@@ -289,34 +289,6 @@
 // service.
 const maintenanceEstimate = 2500 * time.Millisecond
 
-// disruptionAllowed reports whether the availability budget of its step lets the
-// scheduler stop a service task now.
-func (c *Core) disruptionAllowed(t *task, now time.Time) bool {
-	if !t.stage.step.Budgeted {
-		return true
-	}
-	unavailable := 0
-	for _, other := range t.stage.tasks {
-		if other != t && !other.working(now) {
-			unavailable++
-		}
-	}
-	return unavailable < t.stage.step.MaxUnavailable
-}
-
-// reportMaxAge is how long after a VM's last answer its service tasks still count as
-// working.
-const reportMaxAge = 2500 * time.Millisecond
-
-// working reports whether a service task is known to be at work and none of its runs is
-// being stopped, may be stopping by order of the previous owner, or is on a VM that does
-// not answer.
-func (t *task) working(now time.Time) bool {
-	return !t.workingSince.IsZero() && !slices.ContainsFunc(t.runs, func(r *run) bool {
-		return r.state == runStopping || now.Before(r.maybeStoppingUntil) || r.vm.silent || now.Sub(r.vm.lastAnswer) > reportMaxAge
-	})
-}
-
 // maintenanceCost returns the placement cost that is added to a VM whose machine is due
 // for maintenance.
 func (v *vm) maintenanceCost() float64 {
