Send a machine to maintenance only while it runs the VM that was emptied

Callers saw: tasks of a service at work were ended while as many others of their step were away as may be (AVAIL). Cause: maintenance ends whatever runs on the machine. The owner emptied the VM that the list of machines showed when it chose the machine, and never looked again. If that VM crashed meanwhile, the machine came back with another VM, which was not cordoned; some ten seconds later (the lease of the old VM's runs) the order went out and ended the new VM's tasks, which no budget had counted. The same happened when an order was refused and repeated, and when a VM came back under its id after it had been dropped. Change: an order follows the VM that the list shows, cordons that one and empties it within the budgets. It is given only if the VM answers and is empty, or if a fresh list shows that no other VM runs there. A machine that goes down before its order is released. Cordons belong to ids, and so outlast that a VM is dropped. An order is not repeated while its answer is awaited. The stand-in platform refuses orders for machines that are down, and fails a test if an order ends runs. TestMaintenanceOfUnheardVM gets lists of machines every half second, as the owner reads them, since an order now needs a fresh one; its checks are unchanged.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -119,7 +119,10 @@
 	machinesStale bool
 	waves         map[int64]*wave
 	moves         map[string]*move
-	stats         Stats
+	// cordoned holds the ids of the VMs that get no new tasks because their machines are to
+	// be moved or sent to maintenance.
+	cordoned map[string]bool
+	stats    Stats
 	// crashes lists the crashes of VMs that may still speak for or against a task, the
 	// oldest first. lastCrash holds the last crash of each VM and machine by its name.
 	crashes   []*vmCrash
@@ -279,6 +282,7 @@
 		machines: make(map[string]Machine),
 		waves:    make(map[int64]*wave),
 		moves:    make(map[string]*move),
+		cordoned: make(map[string]bool),
 
 		lastCrash:       make(map[string]*vmCrash),
 		machineOrders:   make(map[string]time.Time),
--- a/schedule/core_test.go
+++ b/schedule/core_test.go
@@ -472,7 +472,7 @@
 	h.vms["vm-2"].SetFault(standin.WorkerHealthy)
 	h.run(2 * time.Second)
 	g.Expect(h.maintained).To(gomega.BeEmpty())
-	h.run(10 * time.Second)
+	h.playListing(10 * time.Second)
 	g.Expect(h.maintained).To(gomega.Equal([]string{"m-vm-0"}), "the lease of its runs has expired")
 }
 
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -53,6 +53,10 @@
 	afterRecords func()
 	// platform carries out the moves of machines; nil means that none is carried out.
 	platform func(schedule.Move)
+	// refusesOrders makes the platform refuse all orders for machines.
+	refusesOrders bool
+	// gone holds the VMs that have crashed for good. They are not listed any more.
+	gone map[string]bool
 }
 
 // maxLease is the longest lease of a VM, the same as in package standin.
@@ -62,7 +66,7 @@
 	h := &harness{
 		t: t, now: time.Unix(1_700_000_000, 0), vms: make(map[string]*standin.Worker), jobs: make(map[job.ID]*job.Job),
 		records: make(map[job.ID][]byte), recordedParts: make(map[int]schedule.FleetPart), workTime: time.Second, checker: standin.NewChecker(),
-		deadly: make(map[job.Task]time.Duration),
+		deadly: make(map[job.Task]time.Duration), gone: make(map[string]bool),
 	}
 	h.view = schedule.View{
 		Queues: map[string]schedule.Queue{
@@ -141,8 +145,10 @@
 // listVMs passes the platform's list of VMs to the core.
 func (h *harness) listVMs() {
 	var out []schedule.VM
-	for _, v := range h.vms {
-		out = append(out, v.VM)
+	for id, v := range h.vms {
+		if !h.gone[id] {
+			out = append(out, v.VM)
+		}
 	}
 	slices.SortFunc(out, func(a, b schedule.VM) int { return compare(a.ID, b.ID) })
 	h.core.SetVMs(out, h.now)
@@ -292,11 +298,18 @@
 			h.stops = append(h.stops, a)
 			h.core.Stopped(a, h.vms[a.VM].Stop(a), h.now)
 		case schedule.Maintain:
-			h.maintained = append(h.maintained, a.Machine)
-			h.core.Maintained(a, schedule.MachineDone, h.now)
+			result := h.orderMachine(a.Machine)
+			if result == schedule.MachineDone {
+				h.maintained = append(h.maintained, a.Machine)
+			}
+			h.core.Maintained(a, result, h.now)
 		case schedule.Move:
+			result := h.orderMachine(a.Machine)
+			h.core.Moved(a, result, h.now)
+			if result != schedule.MachineDone {
+				continue
+			}
 			h.moved = append(h.moved, a)
-			h.core.Moved(a, schedule.MachineDone, h.now)
 			if h.platform != nil {
 				h.platform(a)
 			}
@@ -309,3 +322,23 @@
 		}
 	}
 }
+
+// orderMachine returns the platform's answer to an order for a machine. It fails the test if
+// the order ends runs.
+func (h *harness) orderMachine(machine string) schedule.MachineResult {
+	if h.refusesOrders {
+		return schedule.MachineRefused
+	}
+	for _, m := range h.machines {
+		if m.Name != machine {
+			continue
+		}
+		if m.State != schedule.Up {
+			return schedule.MachineBusy
+		}
+		if v := h.vms[m.VM]; v != nil && len(v.Running()) > 0 {
+			h.t.Errorf("an order for machine %s ends %v", machine, v.Running())
+		}
+	}
+	return schedule.MachineDone
+}
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -145,7 +145,7 @@
 		}
 	}
 	for _, v := range p.vms {
-		if v.listed && !v.Draining && !v.cordoned && !c.view.CentresOut[v.Centre] {
+		if v.listed && !v.Draining && !c.cordoned[v.ID] && !c.view.CentresOut[v.Centre] {
 			l.addVM(v)
 		}
 	}
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -99,13 +99,63 @@
 	return c.moves[machine] != nil
 }
 
-// setCordoned sets whether new tasks are kept off a VM.
+// setCordoned sets whether new tasks are kept off a VM, which need not be known yet.
 func (c *Core) setCordoned(vmID string, cordoned bool) {
-	if v := c.vms[vmID]; v != nil {
-		v.cordoned = cordoned
+	if cordoned {
+		c.cordoned[vmID] = true
+	} else {
+		delete(c.cordoned, vmID)
 	}
 }
 
+// followMachine lets an order that is still to be given apply to the VM that the machine
+// runs by now.
+func (c *Core) followMachine(m Machine, o *machineOrder, now time.Time) {
+	if m.VM == o.vm {
+		return
+	}
+	c.config.Log.Info("machine to be emptied runs another VM", "machine", m.Name, "vm", o.vm, "next", m.VM)
+	c.setCordoned(o.vm, false)
+	o.vm, o.chosenAt = m.VM, now
+	c.setCordoned(o.vm, true)
+}
+
+// machineIdle reports whether an order for a machine would end no run. A VM that answers
+// tells what it runs, and that it still runs on the machine. Otherwise the list of machines
+// has to show that no other VM has started there, and no run may exist on a VM whose machine
+// is not known.
+func (c *Core) machineIdle(m Machine, o *machineOrder, now time.Time) bool {
+	v := c.vms[o.vm]
+	switch {
+	case m.VM != o.vm:
+		return false
+	case v != nil && v.attached && !v.silent:
+		return len(v.runs) == 0
+	case m.VM == "" && m.Pool == c.view.Spare:
+		return true
+	case v == nil && now.Sub(o.chosenAt) <= unknownVMWait:
+		return false
+	case v != nil && (len(v.runs) > 0 || c.gates[v.ID] != nil || !now.After(v.leaseEnd)):
+		return false
+	}
+	return now.Sub(c.machinesListedAt) <= machineListMaxAge && !c.hasUnlocatedRuns(m)
+}
+
+// unknownVMWait is how long an order for a machine waits for its VM to be listed. The list
+// of VMs may lag behind that of the machines.
+const unknownVMWait = 2 * time.Second
+
+// hasUnlocatedRuns reports whether a VM that may run on the machine, since it is in the same
+// pool and data centre and its own machine is not known yet, has runs.
+func (c *Core) hasUnlocatedRuns(m Machine) bool {
+	for _, v := range c.vms {
+		if v.lastMachine == "" && len(v.runs) > 0 && v.Pool == m.Pool && v.Centre == m.Centre {
+			return true
+		}
+	}
+	return false
+}
+
 // machineOrder is the state of an order for a machine, either a move or maintenance. The
 // order is retried until the platform accepts it or has rejected it for good.
 type machineOrder struct {
@@ -114,6 +164,8 @@
 	// chosenAt is when the machine was chosen, and orderedAt when the order was last
 	// given or accepted. orderedAt is zero while the VM is still being drained.
 	chosenAt, orderedAt time.Time
+	// unanswered is set from the order until its result.
+	unanswered bool
 	// outcomeUnknown is set once a try of the order got no answer, so that it may still be
 	// carried out.
 	outcomeUnknown bool
@@ -127,6 +179,7 @@
 // recordResult records the result of the order and reports whether the platform has
 // accepted it.
 func (o *machineOrder) recordResult(r MachineResult, now time.Time) bool {
+	o.unanswered = false
 	switch r {
 	case MachineDone:
 		return true
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -115,9 +115,6 @@
 	maintenanceDue bool
 	// hasUnknownRun is set while the VM runs a task that the core does not know.
 	hasUnknownRun bool
-	// cordoned is set while the VM gets no new tasks because its machine is to be moved
-	// or sent to maintenance.
-	cordoned bool
 	// holdRequested is set from the request for an immediate hold until that hold is
 	// prepared.
 	holdRequested bool
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -183,10 +183,11 @@
 }
 
 // advanceWave drains the machines in progress, orders their maintenance once they are
-// drained, and releases them when they are up again.
+// drained, and releases them when they are up again, or if they go down before the order.
 func (c *Core) advanceWave(w *wave, now time.Time) {
 	for name, mm := range w.inProgress {
 		m, listed := c.machines[name]
+		due := mm.orderedAt.IsZero() || mm.retryDue(now)
 		switch {
 		case !listed:
 			c.releaseMachine(w, name)
@@ -194,40 +195,32 @@
 			if m.State == Up && c.machinesListedAt.Sub(mm.orderedAt) > c.config.MaintenanceTime {
 				c.releaseMachine(w, name)
 			}
-		case mm.orderedAt.IsZero():
-			if c.drained(mm, w, now) {
+		case mm.unanswered:
+		case m.State == InMaintenance && mm.outcomeUnknown:
+			c.maintenanceBegan(w, mm, name, now)
+		case m.State != Up && !mm.outcomeUnknown, mm.rejected(m, c.machinesListedAt):
+			// The machine is down or busy for another reason, such as its VM leaving.
+			c.releaseMachine(w, name)
+		case m.State != Up:
+			if due {
+				c.orderMaintenance(w, mm, name, now)
+			}
+		case due:
+			c.followMachine(m, &mm.machineOrder, now)
+			if c.drained(m, mm, w, now) {
 				c.orderMaintenance(w, mm, name, now)
 			}
-		case mm.rejected(m, c.machinesListedAt):
-			// The machine was busy for another reason, such as its VM leaving.
-			c.releaseMachine(w, name)
-		case mm.retryDue(now):
-			c.orderMaintenance(w, mm, name, now)
 		}
 	}
 }
 
-// unknownVMWait is how long a machine whose VM the core does not know is kept waiting
-// before it counts as drained. The list of VMs may lag behind that of the machines.
-const unknownVMWait = 2 * time.Second
-
 // drained continues to drain a machine in progress, and reports whether nothing can run
 // there any more.
-func (c *Core) drained(mm *machineMaintenance, w *wave, now time.Time) bool {
-	v := c.vms[mm.vm]
-	if v == nil {
-		return mm.vm == "" || now.Sub(mm.chosenAt) > unknownVMWait
-	}
-	return c.drain(v, mm, w, now) && c.runsKnown(v, now)
-}
-
-// runsKnown reports whether every run that may exist on a VM is known, either from its
-// reports or because all leases that it was granted have expired.
-func (c *Core) runsKnown(v *vm, now time.Time) bool {
-	if v.attached && !v.silent {
-		return true
+func (c *Core) drained(m Machine, mm *machineMaintenance, w *wave, now time.Time) bool {
+	if v := c.vms[mm.vm]; v != nil && !c.drain(v, mm, w, now) {
+		return false
 	}
-	return c.gates[v.ID] == nil && now.After(v.leaseEnd)
+	return c.machineIdle(m, &mm.machineOrder, now)
 }
 
 // releaseMachine ends a wave's progress on a machine and lets its VM take tasks again.
@@ -237,7 +230,7 @@
 }
 
 func (c *Core) orderMaintenance(w *wave, mm *machineMaintenance, name string, now time.Time) {
-	mm.orderedAt = now
+	mm.orderedAt, mm.unanswered = now, true
 	c.logMachineOrder(name, mm.machineOrder, "maintenance", now)
 	c.machineOrders[name] = now
 	c.actions = append(c.actions, Maintain{Machine: name, Wave: w.Number})
@@ -322,9 +315,14 @@
 	}
 	mm := w.inProgress[a.Machine]
 	if mm.recordResult(r, now) {
-		mm.orderedAt = now
-		w.maintenanceBegun[a.Machine] = true
-		c.fleetChanged = true
-		c.retireVM(mm.vm, now)
+		c.maintenanceBegan(w, mm, a.Machine, now)
 	}
 }
+
+// maintenanceBegan records that the platform has carried out an order for maintenance.
+func (c *Core) maintenanceBegan(w *wave, mm *machineMaintenance, machine string, now time.Time) {
+	mm.orderedAt = now
+	w.maintenanceBegun[machine] = true
+	c.fleetChanged = true
+	c.retireVM(mm.vm, now)
+}
