Move a machine only while it runs the VM that was emptied

Change: a move whose machine goes down, or runs another VM, before the order was accepted is given up; the plan that follows decides anew. If the order may have been carried out, the move follows the machine, and ends when the list shows the machine in its new pool. Test: TestMoveEndsNoTasks; both cases failed before (a task ended; a VM that came back under its id stayed cordoned).

--- a/schedule/move.go
+++ b/schedule/move.go
@@ -74,28 +74,51 @@
 	return l.cpuShortfall() <= 0 && !v.idleSince.IsZero() && now.Sub(v.idleSince) >= powerOffAfter && l.canSpare(v)
 }
 
-// trackMoves advances the moves in progress, and ends those that are complete or that
-// the platform has rejected.
+// trackMoves advances the moves in progress, and ends those that are complete, that the
+// platform has rejected, or whose machine has gone down or runs another VM before the order
+// was accepted.
 func (c *Core) trackMoves(now time.Time) {
 	for name, m := range c.moves {
 		machine, listed := c.machines[name]
 		switch {
 		case !listed:
 			c.endMove(name)
-		case m.orderedAt.IsZero():
-			c.drainForMove(name, m, now)
+		case m.unanswered:
 		case !m.acceptedAt.IsZero():
 			if machine.State == Up && machine.Pool == m.toPool && c.machinesListedAt.After(m.acceptedAt) && now.Sub(m.acceptedAt) > c.config.MoveTime {
 				c.endMove(name)
 			}
-		case m.rejected(machine, c.machinesListedAt):
+		case m.outcomeUnknown:
+			c.trackUncertainMove(machine, m, now)
+		case machine.State != Up, machine.VM != m.vm, m.rejected(machine, c.machinesListedAt):
 			c.endMove(name)
-		case m.retryDue(now):
+		case m.orderedAt.IsZero():
+			c.drainForMove(name, m, now)
+		case m.retryDue(now) && c.machineIdle(machine, &m.machineOrder, now):
 			c.sendMove(name, m, now)
 		}
 	}
 }
 
+// trackUncertainMove advances a move whose order may or may not have been carried out. It
+// repeats the order once nothing runs on the machine, and ends the move if the list of
+// machines shows that it was carried out.
+func (c *Core) trackUncertainMove(machine Machine, m *move, now time.Time) {
+	moved := machine.Pool == m.toPool && machine.State == Up && c.machinesListedAt.After(m.orderedAt)
+	switch {
+	case moved:
+		c.endMove(machine.Name)
+	case !m.retryDue(now):
+	case machine.State != Up:
+		c.sendMove(machine.Name, m, now)
+	default:
+		c.followMachine(machine, &m.machineOrder, now)
+		if c.machineIdle(machine, &m.machineOrder, now) {
+			c.sendMove(machine.Name, m, now)
+		}
+	}
+}
+
 // drainForMove orders the move of a machine once its VM runs nothing. It abandons the
 // move if the VM is gone or silent, or is not empty within [drainForMoveTimeout].
 func (c *Core) drainForMove(name string, m *move, now time.Time) {
@@ -243,7 +266,7 @@
 
 // sendMove orders a move, or repeats the order.
 func (c *Core) sendMove(machine string, m *move, now time.Time) {
-	m.orderedAt = now
+	m.orderedAt, m.unanswered = now, true
 	c.logMachineOrder(machine, m.machineOrder, "move", now)
 	c.machineOrders[machine] = now
 	c.actions = append(c.actions, Move{Machine: machine, Pool: m.toPool})
--- a/schedule/replaced_test.go
+++ b/schedule/replaced_test.go
@@ -93,3 +93,28 @@
 		})
 	}
 }
+
+// TestMoveEndsNoTasks guards against a move that ends the tasks of a VM which the machine has
+// started since the move was ordered and refused.
+func TestMoveEndsNoTasks(t *testing.T) {
+	for _, id := range []string{"vm-9", "vm-0"} {
+		t.Run(id, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h := newHarness(t, 2)
+			h.maintain("vm-0", 1)
+			h.view.Waves, h.view.Spare = nil, "spare"
+			h.core.SetView(h.view, h.now)
+			h.refusesOrders = true
+			h.playListing(2 * time.Second)
+			moving := "m-vm-0"
+			h.crashForGood(moving)
+			h.playListing(time.Second)
+			h.submit(service("1", 2, 0))
+			h.startVM(moving, id)
+			h.refusesOrders = false
+			h.playListing(10 * time.Second)
+			g.Expect(countRuns(h, job.Task{Job: "1"})).To(gomega.Equal(1))
+			g.Expect(countRuns(h, job.Task{Job: "1", Index: 1})).To(gomega.Equal(1))
+		})
+	}
+}
