Let a later run outrank an earlier one that only the record lists

Callers saw: tasks of a service at work stopped by a new owner, away for six seconds and more of them at once than allowed (AVAIL), or started again while they still ran (TWICE). Cause: the record of the fleet may be older than the runs, since an owner goes on through an outage of the store. A new owner restored a run from the record, on a VM out of reach, and stopped the run of the same task that another VM reported: the later one, which its predecessor had started knowing that the earlier one had ended. The run that was being stopped no longer counted as a run of its task, so that the task could start elsewhere before it had ended. Change: run numbers decide. A run that a VM reports, running or ended, ends every lower run that is known from the record only, in whichever order they arrive; of two runs that VMs report, the lower is stopped, and counts for its task until it has ended. A task is at work if one of its runs is.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -256,9 +256,9 @@
 	excuses int
 	// crashAge is the greatest age of a run of the task when its VM crashed.
 	crashAge time.Duration
-	// workingSince is the time since which a service task has been at work; zero
-	// while it is not.
-	workingSince time.Time
+	// reportedNumber is the highest number of a run of a previous owner that a VM has
+	// reported, running or ended.
+	reportedNumber int
 }
 
 // runNumbersPerEpoch is the size of the range of run numbers that a task has in
--- a/schedule/disruption.go
+++ b/schedule/disruption.go
@@ -51,28 +51,31 @@
 
 func (a availability) String() string { return availabilityNames[a] }
 
-// availability returns the availability of a service task. The worst of its runs decides.
+// availability returns the availability of a service task. One run at work suffices.
 func (t *task) availability(now time.Time) availability {
+	out := waiting
+	for i, r := range t.runs {
+		if a := r.availability(now); i == 0 || a == available {
+			out = a
+		}
+	}
+	return out
+}
+
+func (r *run) availability(now time.Time) availability {
 	switch {
-	case len(t.runs) == 0:
-		return waiting
-	case t.workingSince.IsZero():
+	case r.state == runStopping:
+		return stopping
+	case r.workingSince.IsZero():
 		return starting
+	case now.Before(r.maybeStoppingUntil):
+		return maybeStopping
+	case r.vm.silent:
+		return unreachable
+	case now.Sub(r.vm.lastAnswer) > reportMaxAge:
+		return unconfirmed
 	}
-	worst := available
-	for _, r := range t.runs {
-		switch {
-		case r.state == runStopping:
-			return stopping
-		case now.Before(r.maybeStoppingUntil):
-			worst = maybeStopping
-		case r.vm.silent:
-			worst = unreachable
-		case now.Sub(r.vm.lastAnswer) > reportMaxAge:
-			worst = unconfirmed
-		}
-	}
-	return worst
+	return available
 }
 
 // stopReason is why a run is ordered to stop.
@@ -115,7 +118,7 @@
 		}
 	}
 	c.config.Log.Info("service task ordered to stop", "run", r.id, "vm", r.vm.ID, "reason", reason, "state", r.state,
-		"at_work", now.Sub(r.task.workingSince).Milliseconds(), "answered", now.Sub(r.vm.lastAnswer).Milliseconds(),
+		"at_work", now.Sub(r.workingSince).Milliseconds(), "answered", now.Sub(r.vm.lastAnswer).Milliseconds(),
 		"others", n, "allowed", step.MaxUnavailable, "waiting", unavailable[waiting], "starting", unavailable[starting],
 		"stopping", slices.Concat(unavailable[stopping], unavailable[maybeStopping]),
 		"unreachable", slices.Concat(unavailable[unreachable], unavailable[unconfirmed]))
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -73,8 +73,11 @@
 		if t == nil {
 			t = placeholderTask(tj, restored.id.Task)
 		}
+		if restored.id.Number < t.reportedNumber {
+			continue
+		}
 		r := c.newRun(t, restored.vm, restored.id.Number, now)
-		r.state, r.reported = runRunning, true
+		r.state, r.reported, r.fromRecord = runRunning, true, true
 		// The lowest fencing token lets the next report settle whether the run exists.
 		r.fence = 0
 		r.maybeStoppingUntil = now.Add(c.config.MaxStopTime + stopReportMargin)
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -55,6 +55,8 @@
 	platform func(schedule.Move)
 	// refusesOrders makes the platform refuse all orders for machines.
 	refusesOrders bool
+	// storeDown makes all commits fail.
+	storeDown bool
 	// gone holds the VMs that have crashed for good. They are not listed any more.
 	gone map[string]bool
 }
@@ -265,6 +267,10 @@
 		if err != nil {
 			h.t.Fatal(err)
 		}
+		if h.storeDown {
+			h.core.CommitFailed(r)
+			return
+		}
 		for _, s := range r.States {
 			h.records[s.Job] = s.Data
 		}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -62,12 +62,19 @@
 	acceptedAt time.Time
 	// reported is set once a report has listed the run.
 	reported bool
+	// fromRecord is set for a run that the previous owner has recorded, until a report lists
+	// it.
+	fromRecord bool
+	// workingSince is the time since which the run of a service task has been at work; zero
+	// while it is not.
+	workingSince time.Time
 }
 
 // adoptRun takes over a run that a previous owner has started. It stops the run if
-// its job is unknown or has ended, its task is done, or its task already has a run
-// and allows no copies. A stopped run of a known job uses the VM's capacity until
-// it has ended.
+// its job is unknown or has ended, or its task is done. If the task has another run and
+// allows no copies, the one with the lower number is stopped: the owner that started the
+// other one knew that the lower one had ended, or would do nothing any more. A stopped run
+// of a known job uses the VM's capacity until it has ended.
 func (c *Core) adoptRun(v *vm, p Progress, now time.Time) {
 	tj := c.jobs[p.Run.Task.Job]
 	if tj == nil || !tj.hasTask(p.Run.Task) {
@@ -80,10 +87,18 @@
 	if !tj.state.Phase().Final() {
 		t = c.taskOf(tj, p.Run.Task)
 	}
-	wanted := t != nil && (len(t.runs) == 0 || t.stage.step.Speculative)
-	if !wanted {
+	wanted := t != nil
+	if wanted {
+		c.dropSuperseded(t, p.Run.Number)
+		wanted = t.stage.step.Speculative || !slices.ContainsFunc(t.runs, func(other *run) bool { return other.id.Number >= p.Run.Number })
+	} else {
 		t = placeholderTask(tj, p.Run.Task)
 	}
+	if wanted && !t.stage.step.Speculative {
+		for _, lower := range t.runs {
+			c.stopRun(lower, stopUnneeded, now)
+		}
+	}
 	r := c.newRun(t, v, p.Run.Number, now)
 	r.state, r.reported = runRunning, true
 	r.checkpoint, r.percent, r.load = p.Checkpoint, p.Percent, p.Load
@@ -103,6 +118,20 @@
 	}
 }
 
+// dropSuperseded drops the runs of a task that are known only from the record, which may be
+// old, if a VM has reported a run with a higher number. The owner that started that one knew
+// that the others had ended.
+func (c *Core) dropSuperseded(t *task, reported int) {
+	t.reportedNumber = max(t.reportedNumber, reported)
+	for _, r := range slices.Clone(t.runs) {
+		if r.fromRecord && r.id.Number < reported {
+			c.config.Log.Info("run in the record dropped for a later one", "run", r.id, "vm", r.vm.ID, "later", reported)
+			c.releaseRun(r)
+			c.placeChanged(r.vm.ID)
+		}
+	}
+}
+
 // stopReportMargin is the time allowed for the end of a stopped run to be reported.
 const stopReportMargin = 400 * time.Millisecond
 
@@ -153,11 +182,8 @@
 	jobTeam := c.team(t.stage.trackedJob.Team)
 	jobTeam.used = jobTeam.used.Minus(r.charged)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
-	if len(t.runs) == 0 {
-		t.workingSince = time.Time{}
-		if !t.done {
-			t.stage.waitingTasks++
-		}
+	if len(t.runs) == 0 && !t.done {
+		t.stage.waitingTasks++
 	}
 }
 
@@ -189,6 +215,7 @@
 		return
 	}
 	t.runNumber = max(t.runNumber, e.Run.Number)
+	c.dropSuperseded(t, e.Run.Number)
 	c.config.Log.Info("unknown run ended", "run", e.Run, "how", e.Outcome, "vm", v.ID)
 	c.applyOutcome(t, e.Run.Number, v, e.Outcome, now)
 }
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -422,25 +422,23 @@
 		if r.state == runSent || r.state == runUnsettled {
 			r.state = runRunning
 		}
-		r.startUnanswered, r.reported = false, true
+		r.startUnanswered, r.reported, r.fromRecord = false, true, false
 		r.checkpoint, r.load = p.Checkpoint, p.Load
 		r.recordProgress(p.Percent, now)
 		c.updateWorkingSince(r, now)
 	}
 }
 
-// updateWorkingSince sets the time since which a service task has been at work. A task is
-// at work while its reported progress is 100 percent and no stop was ordered.
+// updateWorkingSince sets the time since which a run of a service task has been at work. It
+// is at work while its reported progress is 100 percent and no stop was ordered.
 func (c *Core) updateWorkingSince(r *run, now time.Time) {
-	t := r.task
 	switch {
+	case !r.task.stage.step.Service:
 	case r.percent < 100 || r.state == runStopping:
-		t.workingSince = time.Time{}
-	case t.workingSince.IsZero():
-		t.workingSince = now
-		if t.stage.step.Service {
-			c.config.Log.Info("service task at work", "run", r.id, "vm", r.vm.ID, "after", now.Sub(r.startSentAt).Milliseconds())
-		}
+		r.workingSince = time.Time{}
+	case r.workingSince.IsZero():
+		r.workingSince = now
+		c.config.Log.Info("service task at work", "run", r.id, "vm", r.vm.ID, "after", now.Sub(r.startSentAt).Milliseconds())
 	}
 }
 
