Drain a VM by the entry of its present process only

The list may show the entry of an earlier process of the same id, which was leaving, and the check that placement makes of an entry's start was missing there. Change: one function says what an order to stop a service task asks of the budget, by its reason, and the entry of an earlier process drains nothing. Test: TestOldEntryDrainsNoNewProcess failed before (one stop).

--- a/schedule/disruption.go
+++ b/schedule/disruption.go
@@ -6,9 +6,24 @@
 	"time"
 )
 
-// disruptionAllowed reports whether the availability budget of its step lets the
-// scheduler stop a service task now.
-func (c *Core) disruptionAllowed(t *task, now time.Time) bool {
+// stopAllowed reports whether the run of a service task may be ordered to stop for a reason.
+// Maintenance can wait, so it has to keep to the availability budget of the step. A VM that
+// is about to leave ends the run anyway; the entry of an earlier process of the VM does not
+// count. For the other reasons the run is not needed, or another run of the task goes on.
+func (c *Core) stopAllowed(r *run, reason stopReason, now time.Time) bool {
+	switch reason {
+	case stopMaintenance:
+		return r.task.withinBudget(now)
+	case stopDraining:
+		return r.vm.Draining && !r.vm.pastProcessStarts[r.vm.Born]
+	case stopJobEnded, stopTaskDone, stopUnneeded, stopStalled:
+	}
+	return true
+}
+
+// withinBudget reports whether the availability budget of its step lets the scheduler
+// interrupt a service task now.
+func (t *task) withinBudget(now time.Time) bool {
 	if !t.stage.step.Budgeted {
 		return true
 	}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -86,7 +86,7 @@
 		if r.state == runStopping {
 			c.stopRun(r, r.stopReason, now)
 		}
-		if v.Draining && r.task.stage.step.Service && r.state == runRunning {
+		if r.task.stage.step.Service && r.state == runRunning && c.stopAllowed(r, stopDraining, now) {
 			c.stopRun(r, stopDraining, now)
 		}
 	}
--- a/schedule/replaced_test.go
+++ b/schedule/replaced_test.go
@@ -118,3 +118,26 @@
 		})
 	}
 }
+
+// TestOldEntryDrainsNoNewProcess guards against stopping service tasks because the list shows
+// the entry of an earlier process of their VM, which was about to leave.
+func TestOldEntryDrainsNoNewProcess(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 1)
+	h.run(time.Second)
+	earlier := h.vms["vm-0"].VM
+	earlier.Draining = true
+	h.vms["vm-0"].Restart(h.now)
+	h.listVMs()
+	h.submit(service("1", 1, 0))
+	h.run(time.Second)
+	g.Expect(countRuns(h, job.Task{Job: "1"})).To(gomega.Equal(1))
+	h.core.SetVMs([]schedule.VM{earlier}, h.now)
+	h.run(time.Second)
+	g.Expect(h.stops).To(gomega.BeEmpty())
+	h.listVMs()
+	h.vms["vm-0"].VM.Draining = true
+	h.listVMs()
+	h.run(time.Second)
+	g.Expect(h.stops).To(gomega.HaveLen(1), "the present process is about to leave")
+}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -247,7 +247,7 @@
 		step := r.task.stage.step
 		switch {
 		case step.Service:
-			if r.state == runRunning && c.disruptionAllowed(r.task, now) && (late || c.placeable(r.task, now)) {
+			if r.state == runRunning && c.stopAllowed(r, stopMaintenance, now) && (late || c.placeable(r.task, now)) {
 				c.stopRun(r, stopMaintenance, now)
 			}
 		case step.WritesCheckpoints || now.Sub(mm.chosenAt) > drainTimeout:
