Remember which task was on trial when the lease of a silent VM ran out

Callers saw: with VMs down for longer than their leases, and no list of machines, a task that crashes its VMs was started a third time after three crashes (BUDGET). Cause: the crash is known only when the VM comes back. By then the lease had run out, its runs had ended, and the trial with them, so that the crash spoke against nobody. Change: the task on trial is kept with the runs that lapsed, and the crash counts as one in its trial. A VM that was only out of reach is no crash, as before.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -147,8 +147,12 @@
 	if v.missedHolds > 0 {
 		crash.at = v.firstMissedAt
 	}
-	if t := v.taskOnTrial(crash.at); t != nil && !c.crashedWithout(v, t, now) {
-		crash.onTrial = t
+	onTrial := v.lapsedOnTrial
+	if onTrial == nil {
+		onTrial = v.taskOnTrial(crash.at)
+	}
+	if onTrial != nil && !c.crashedWithout(v, onTrial, now) {
+		crash.onTrial = onTrial
 	}
 	suspects := 0
 	for _, r := range append(v.sortedRuns(), v.lapsed...) {
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -60,6 +60,9 @@
 	// lapsed lists the runs of the VM's current process that ended with their lease while the
 	// VM was silent, and may have ended earlier by its crash.
 	lapsed []*run
+	// lapsedOnTrial is the task that was on trial when the runs in lapsed ended; nil means
+	// none.
+	lapsedOnTrial *task
 	// trial is the trial of a suspect on the VM; nil means that there is none.
 	trial *trial
 	// terminated is set when the list of machines shows that the machine no longer runs
@@ -220,7 +223,7 @@
 		v.pastProcessStarts[v.processStart] = true
 		c.recordCrash(v, now)
 	}
-	v.crashRecorded, v.lapsed = false, nil
+	v.crashRecorded, v.lapsed, v.lapsedOnTrial = false, nil, nil
 	v.processStart = born
 	v.lastEndRead, v.lastEndRecorded, v.unrecordedEnds = 0, 0, nil
 	v.reportStamp = reportStamp{}
@@ -342,6 +345,9 @@
 	if now.Before(v.leaseEnd) {
 		return
 	}
+	if v.lapsedOnTrial == nil {
+		v.lapsedOnTrial = v.taskOnTrial(v.firstMissedAt)
+	}
 	for _, r := range v.sortedRuns() {
 		if (r.state == runSent || r.startUnanswered) && now.Sub(r.startSentAt) < maxOrderDelay {
 			continue
@@ -373,7 +379,7 @@
 		c.placeChanged(v.ID)
 		c.requestHold(v)
 	}
-	v.silent, v.terminated, v.crashRecorded, v.lapsed = false, false, false, nil
+	v.silent, v.terminated, v.crashRecorded, v.lapsed, v.lapsedOnTrial = false, false, false, nil, nil
 	v.missedHolds = 0
 	v.lastAnswer, v.lastAlive = now, now
 	// A reading below the bound comes from a late answer or a slow clock. It is taken
