Lengthen the trial of a service task each time that it passed one and crashes again

Callers saw: a service task whose time to the crash triples with each run passed its trials, which last twice the age at the last crash, and was started a third and fourth time after three crashes (BUDGET). Cause: passing a trial cleared the task as if nothing were known of it. Change: each long trial that was passed doubles the factor of the next one. The count is not recorded; a new owner begins at two again. Keeping the total of the crashes instead was tried and dropped: innocent services were given up (TestServicesOnCrashingFleet). Remains: a time to the crash that grows faster than the trials still escapes them, up to the bound of 10 s on a trial.

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -254,6 +254,9 @@
 	underVerdict bool
 	// excuses is how often simultaneous crashes of many VMs have spoken for the task.
 	excuses int
+	// longTrialsPassed is how many long trials the task has passed, up to
+	// [maxTrialDoublings].
+	longTrialsPassed int
 	// crashAge is the greatest age of a run of the task when its VM crashed.
 	crashAge time.Duration
 	// reportedNumber is the highest number of a run of a previous owner that a VM has
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -45,9 +45,11 @@
 	// shortTrialTime is how long a VM gets no other task after the start of a task that is a
 	// suspect after a single crash.
 	shortTrialTime = 200 * time.Millisecond
-	// trialTimeFactor is the length of the long trial of a service task as a multiple of the
-	// age at which a run of the task was when its VM crashed.
-	trialTimeFactor = 2
+	// trialTimeFactor is the length of the first long trial of a service task as a multiple
+	// of the age at which a run of the task was when its VM crashed. Each long trial that was
+	// passed doubles it, up to maxTrialDoublings times, since the task may crash ever later.
+	trialTimeFactor   = 2
+	maxTrialDoublings = 3
 	// settledRunAge is the age from which on a service task does not count as the cause of
 	// a crash if a suspect was on trial there.
 	settledRunAge = 2 * time.Second
@@ -457,7 +459,8 @@
 		if age == 0 {
 			age = unknownCrashAge
 		}
-		v.trial.until = now.Add(min(max(trialTimeFactor*age, shortTrialTime), maxServiceTrial))
+		factor := time.Duration(trialTimeFactor << t.longTrialsPassed)
+		v.trial.until = now.Add(min(max(factor*age, shortTrialTime), maxServiceTrial))
 	}
 	c.config.Log.Info("suspect started on a VM that gets no other task meanwhile", "run", Run{t.id, t.runNumber}, "vm", v.ID,
 		"crashes", t.crashes().Count, "long", long)
@@ -510,6 +513,7 @@
 		known.Count, known.Suspect = min(known.Count, longTrialCrashes-1), false
 		if v.trial.long {
 			known.Total, known.Sure = known.Count, min(known.Sure, known.Count)
+			t.longTrialsPassed = min(t.longTrialsPassed+1, maxTrialDoublings)
 		}
 		c.setCrashes(t, known)
 	}
