Log the cause of a stop, the verdict on a crash and what a pool's tasks wait for

Cause: the logs had one reason for the stops of a cancelled and a failed job, a time at work of ms for a run that had not begun to work, no line on a crash in a trial that accused nobody, and no cores in use. Change: the reasons "job cancelled" and "job failed", `crash during a trial settled`, and in `pool load` the usable VMs, the cores in use, the waiting tasks that can be in time and the suspects. `owner load` calls parts out of date `outdated` instead of `unlisted`. Result: no decision changes; go test ./schedule passes.

--- a/owner/load.go
+++ b/owner/load.go
@@ -50,7 +50,7 @@
 		"commits", l.commits, "committing", l.committing.Milliseconds(), "longest", l.longest.Milliseconds(),
 		"jobs", l.jobs, "states", l.states, "parts", l.parts, "removed", l.removed,
 		"queued", len(o.commitQueue), "unrecorded", backlog.States, "oldest", backlog.Oldest.Milliseconds(),
-		"unlisted", backlog.Parts, "unready", backlog.Unready,
+		"outdated", backlog.Parts, "unready", backlog.Unready,
 		"starting", backlog.Starting, "window", o.congestion.Window(), "delay", o.congestion.Delay().Milliseconds(),
 		"silent", backlog.Silent, "gates", backlog.Gates)
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -544,10 +544,14 @@
 	tj.state.SetFinalPhase(p, now)
 	c.markDirty(tj)
 	c.config.Log.Info("job ended", "job", tj.ID, "phase", p, "queue", tj.Queue)
+	reason := stopJobFailed
+	if p == job.Cancelled {
+		reason = stopCancelled
+	}
 	for _, s := range tj.stages {
 		for _, t := range s.tasks {
 			for _, r := range slices.Clone(t.runs) {
-				c.stopRun(r, stopJobEnded, now)
+				c.stopRun(r, reason, now)
 			}
 		}
 		c.closeStage(s)
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -248,7 +248,9 @@
 			continue
 		}
 		crash.settled = true
-		mass := c.unpromptedCrashes(crash) >= massCrash
+		unprompted := c.unpromptedCrashes(crash)
+		mass := unprompted >= massCrash
+		c.logVerdict(crash, unprompted, mass)
 		if t := crash.onTrial; mass && t != nil && t.excuses < maxExcuses {
 			retrials++
 			t.notBefore = now.Add(time.Duration(retrials) * retrialGap)
@@ -268,6 +270,16 @@
 	}
 }
 
+// logVerdict logs what a crash with a task on trial was compared with.
+func (c *Core) logVerdict(crash *vmCrash, unprompted int, mass bool) {
+	if crash.onTrial == nil {
+		return
+	}
+	known := crash.onTrial.crashes()
+	c.config.Log.Info("crash during a trial settled", "vm", crash.vm, "run", Run{crash.onTrial.id, crash.onTrial.runNumber}, "unprompted", unprompted,
+		"mass", mass, "tasks", len(crash.tasks), "count", known.Count, "sure", known.Sure, "total", known.Total)
+}
+
 // settleCrash decides about one task that ran through a crash.
 func (c *Core) settleCrash(crash *vmCrash, t *task, mass bool, now time.Time) {
 	if t.done || t.stage.trackedJob.state.Phase().Final() {
--- a/schedule/disruption.go
+++ b/schedule/disruption.go
@@ -16,7 +16,7 @@
 		return r.task.withinBudget(now)
 	case stopDraining:
 		return r.vm.Draining && !r.vm.pastProcessStarts[r.vm.Born]
-	case stopJobEnded, stopTaskDone, stopUnneeded, stopStalled:
+	case stopCancelled, stopJobFailed, stopTaskDone, stopUnneeded, stopStalled:
 	}
 	return true
 }
@@ -98,8 +98,10 @@
 
 // The reasons for orders to stop a run.
 const (
-	// stopJobEnded is for a run of a job that was cancelled or has failed.
-	stopJobEnded stopReason = iota
+	// stopCancelled is for a run of a job that was cancelled, and stopJobFailed for one of a
+	// job that has failed.
+	stopCancelled stopReason = iota
+	stopJobFailed
 	// stopTaskDone is for a run of a task that another run has completed.
 	stopTaskDone
 	// stopUnneeded is for a run of a previous owner whose task has another run, is done, or
@@ -113,7 +115,7 @@
 	stopMaintenance
 )
 
-var stopReasonNames = [...]string{"job ended", "task done", "unneeded", "stalled", "VM draining", "maintenance"}
+var stopReasonNames = [...]string{"job cancelled", "job failed", "task done", "unneeded", "stalled", "VM draining", "maintenance"}
 
 func (s stopReason) String() string { return stopReasonNames[s] }
 
@@ -132,8 +134,12 @@
 			n++
 		}
 	}
+	atWork := time.Duration(0)
+	if !r.workingSince.IsZero() {
+		atWork = now.Sub(r.workingSince)
+	}
 	c.config.Log.Info("service task ordered to stop", "run", r.id, "vm", r.vm.ID, "reason", reason, "state", r.state,
-		"at_work", now.Sub(r.workingSince).Milliseconds(), "answered", now.Sub(r.vm.lastAnswer).Milliseconds(),
+		"at_work", atWork.Milliseconds(), "answered", now.Sub(r.vm.lastAnswer).Milliseconds(),
 		"others", n, "allowed", step.MaxUnavailable, "waiting", unavailable[waiting], "starting", unavailable[starting],
 		"stopping", slices.Concat(unavailable[stopping], unavailable[maybeStopping]),
 		"unreachable", slices.Concat(unavailable[unreachable], unavailable[unconfirmed]))
--- a/schedule/load.go
+++ b/schedule/load.go
@@ -39,6 +39,8 @@
 	incoming int
 	// urgent is set when tasks of the most urgent queues wait.
 	urgent bool
+	// timely is the number of waiting tasks of jobs that can still meet their objective.
+	timely int
 }
 
 // cpuShortfall returns the processors that the pool lacks, in thousandths of a core. It
@@ -78,21 +80,42 @@
 	l.vms--
 }
 
-// logLoads logs the demand and the supply of each pool.
-func (c *Core) logLoads(loads []*poolLoad) {
+// logLoads logs the demand and the supply of each pool: the VMs with service tasks and those
+// that accept tasks, the cores in use, and how many of the waiting tasks can still be in time.
+func (c *Core) logLoads(loads []*poolLoad, now time.Time) {
 	for _, l := range loads {
-		services := 0
+		services, usable, used := 0, 0, int64(0)
 		for _, v := range l.pool.vms {
 			if v.runsService() {
 				services++
 			}
+			if c.acceptsTasks(v, now) {
+				usable++
+			}
+			used += v.used.CPU
 		}
 		c.config.Log.Info("pool load", "pool", l.pool.name, "vms", l.vms, "coming", l.incoming, "idle", len(l.idle),
-			"services", services, "least", l.minVMs, "waiting", l.pool.waitingTasks(),
+			"services", services, "least", l.minVMs, "usable", usable, "used", used/1000, "waiting", l.pool.waitingTasks(), "timely", l.timely, "suspects", c.waitingSuspects(l.pool),
 			"want", l.demand.CPU/1000, "lately", l.peakDemand.CPU/1000, "have", l.supply.CPU/1000)
 	}
 }
 
+// waitingSuspects returns the number of suspects that wait for a VM of the pool.
+func (c *Core) waitingSuspects(p *pool) int {
+	n := 0
+	for _, s := range p.stages {
+		if !s.ready || !s.trackedJob.state.HasCrashes() {
+			continue
+		}
+		for _, t := range s.tasks {
+			if !t.done && len(t.runs) == 0 && c.isSuspect(t) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // runsService reports whether a service task runs on the VM.
 func (v *vm) runsService() bool {
 	for _, r := range v.runs {
@@ -199,6 +222,7 @@
 		return
 	}
 	l.demand = l.demand.Plus(need)
+	l.timely += s.waitingTasks
 	l.urgent = l.urgent || s.rank == rankUrgent
 	l.blocked = l.blocked || !s.blockedSince.IsZero() && now.Sub(s.blockedSince) > blockedTimeout
 }
--- a/schedule/move.go
+++ b/schedule/move.go
@@ -50,7 +50,7 @@
 	loads := c.loads(now)
 	if now.Sub(c.lastLoadLog) >= loadLogInterval {
 		c.lastLoadLog = now
-		c.logLoads(loads)
+		c.logLoads(loads, now)
 	}
 	c.machinesStale = now.Sub(c.machinesListedAt) > machineListMaxAge && c.needsMoves(loads, now)
 	if now.Sub(c.machinesListedAt) > machineListMaxAge {
