Let a service go on when VMs crash under one of its tasks

Cause: a task on trial whose VM crashed was taken for the cause, and its job failed. For a service this stopped all other tasks at once, without a look at the budget. Change: no crash ends a service. Its task starts again after a pause that doubles; after five crashes without a run of 30 s it is suspended, and the others go on. Crashes are taken back for service tasks if many VMs or half of a data centre are lost within 2 s, since VMs that are lost together are found over that time. Why it works: the only way from a crash to the stop of another task is gone; maintenance and drains ask the budget. TestServicesOnCrashingFleet also asks that no task is suspended and all run once the load is over, since "the job runs" alone holds always now.

--- a/jobs/metrics.go
+++ b/jobs/metrics.go
@@ -104,6 +104,7 @@
 	lapsesDesc      = prometheus.NewDesc("almondcove_task_lapses_total", "Runs taken as ended without an end.", nil, nil)
 	crashesDesc     = prometheus.NewDesc("almondcove_vm_crashes_total", "VMs that have crashed while they ran tasks.", nil, nil)
 	trialsDesc      = prometheus.NewDesc("almondcove_suspect_starts_total", "Starts of tasks that may crash their VMs.", nil, nil)
+	suspendedDesc   = prometheus.NewDesc("almondcove_service_tasks_suspended_total", "Service tasks that are not started any more because their VMs crash.", nil, nil)
 	givenUpDesc     = prometheus.NewDesc("almondcove_jobs_given_up_total", "Jobs that have failed because a task crashes its VMs.", nil, nil)
 )
 
@@ -111,7 +112,7 @@
 func (nc *nodeCollector) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		ownerDesc, epochDesc, recordsDesc, storeDesc, vmsDesc, waitingDesc, startsDesc, endsDesc, failuresDesc, lapsesDesc,
-		recordsAgeDesc, callDelayDesc, startWindowDesc, crashesDesc, trialsDesc, givenUpDesc,
+		recordsAgeDesc, callDelayDesc, startWindowDesc, crashesDesc, trialsDesc, givenUpDesc, suspendedDesc,
 	} {
 		c <- d
 	}
@@ -155,4 +156,5 @@
 	count(crashesDesc, stats.Crashes)
 	count(trialsDesc, stats.Trials)
 	count(givenUpDesc, stats.GivenUp)
+	count(suspendedDesc, stats.Suspended)
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -176,9 +176,10 @@
 	// orders without an answer.
 	Starts, Ends, Failures, Lapses, Unanswered int64
 	// Crashes counts the VMs that have crashed while they ran tasks, Trials the starts of
-	// suspects on VMs that get no other task meanwhile, and GivenUp the jobs that have
-	// failed because a task crashes VMs.
-	Crashes, Trials, GivenUp int64
+	// suspects on VMs that get no other task meanwhile, GivenUp the jobs that have failed
+	// because a task crashes VMs, and Suspended the service tasks that are not started any
+	// more for that reason.
+	Crashes, Trials, GivenUp, Suspended int64
 }
 
 // pool holds the VMs of one pool and the stages whose tasks run on them.
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -20,6 +20,10 @@
 //	2 and more | the whole run, alone | if its VM crashes in the trial and nothing else started there
 //	maxCrashes | none | at once
 //
+// A job of batch tasks that is given up fails. A service goes on without the task: callers
+// expect its tasks to be restarted however they end, and its other tasks are at work. The
+// task starts again after a pause, see [Core.delayServiceTask].
+//
 // A suspect waits up to [trialPatience] for a VM without batch tasks, and then starts beside
 // older runs. If all VMs of a pool are on trial, a long trial of a batch task keeps other
 // tasks off its VM only for [trialTurn]. A crash with tasks that started later speaks
@@ -66,6 +70,13 @@
 	// that no task is the cause, and maxExcuses how often they speak for the same task.
 	massCrash  = 2
 	maxExcuses = 2
+	// serviceCrashBackoff is the pause before a service task starts again after its VM has
+	// crashed in its trial. It doubles with each crash.
+	serviceCrashBackoff = time.Second
+	// serviceVerdictDelay is how long after a crash the crashes of other VMs are awaited
+	// before it is taken back for service tasks. VMs that are lost together are found as they
+	// miss their holds, over up to this time.
+	serviceVerdictDelay = 2 * time.Second
 	// retrialGap is the time between the new trials of tasks whose trials were ended by
 	// simultaneous crashes, so that the next ones are not simultaneous again.
 	retrialGap = 400 * time.Millisecond
@@ -109,8 +120,11 @@
 	// is the one that was on trial; nil means none.
 	tasks   []*task
 	onTrial *task
-	// settled is set once the verdict has been given.
-	settled bool
+	// settled is set once the verdict on the batch tasks has been given, and servicesSettled
+	// once that on the service tasks has.
+	settled, servicesSettled bool
+	// centre is the data centre of the VM.
+	centre string
 	// prompted is set if one of the tasks was a suspect by then, so that the crash may have
 	// a cause of its own.
 	prompted bool
@@ -144,6 +158,13 @@
 	tj.crashVersion = tj.version
 }
 
+// clear forgets the crashes under a task that has outlived them.
+func (c *Core) clear(t *task) {
+	if t.crashes() != (job.Crashes{}) {
+		c.setCrashes(t, job.Crashes{})
+	}
+}
+
 // crashesRecorded reports whether what is known of the crashes under a job's tasks is
 // recorded, so that the next owner knows it too.
 func (tj *trackedJob) crashesRecorded() bool { return tj.recordedVersion >= tj.crashVersion }
@@ -155,7 +176,7 @@
 		return
 	}
 	v.crashRecorded = true
-	crash := &vmCrash{vm: v.ID, at: now, foundAt: now}
+	crash := &vmCrash{vm: v.ID, centre: v.Centre, at: now, foundAt: now}
 	if v.missedHolds > 0 {
 		crash.at = v.firstMissedAt
 	}
@@ -168,10 +189,14 @@
 	}
 	suspects := 0
 	for _, r := range append(v.sortedRuns(), v.lapsed...) {
-		if r.task.done || r.state == runStopping || crash.at.Sub(r.startSentAt) > settledAge {
+		if r.task.done || r.state == runStopping {
 			continue
 		}
 		t := r.task.counted()
+		if crash.at.Sub(r.startSentAt) > settledAge {
+			c.clear(t)
+			continue
+		}
 		t.crashAge = max(t.crashAge, crash.at.Sub(r.startSentAt))
 		known := t.crashes()
 		if v.mayHaveCrashedUnder(r) {
@@ -186,6 +211,11 @@
 				known.Sure++
 			}
 		}
+		if t.stage.step.Service {
+			c.setCrashes(t, known)
+			c.delayServiceTask(t, crash, now)
+			continue
+		}
 		t.underVerdict = t.underVerdict || t == crash.onTrial || known.Total >= maxCrashes
 		c.setCrashes(t, known)
 	}
@@ -244,6 +274,7 @@
 func (c *Core) settleCrashes(now time.Time) {
 	retrials := 0
 	for _, crash := range c.crashes {
+		c.excuseServices(crash, now)
 		if crash.settled || now.Sub(crash.foundAt) < verdictDelay {
 			continue
 		}
@@ -261,7 +292,7 @@
 		}
 	}
 	c.crashes = slices.DeleteFunc(c.crashes, func(crash *vmCrash) bool {
-		return crash.settled && now.Sub(crash.foundAt) > verdictDelay+crashWindow
+		return crash.settled && crash.servicesSettled && now.Sub(crash.foundAt) > verdictDelay+crashWindow
 	})
 	for name, crash := range c.lastCrash {
 		if now.Sub(crash.at) > crashMemory {
@@ -280,9 +311,9 @@
 		"mass", mass, "tasks", len(crash.tasks), "count", known.Count, "sure", known.Sure, "total", known.Total)
 }
 
-// settleCrash decides about one task that ran through a crash.
+// settleCrash decides about one batch task that ran through a crash.
 func (c *Core) settleCrash(crash *vmCrash, t *task, mass bool, now time.Time) {
-	if t.done || t.stage.trackedJob.state.Phase().Final() {
+	if t.stage.step.Service || t.done || t.stage.trackedJob.state.Phase().Final() {
 		return
 	}
 	known := t.crashes()
@@ -296,6 +327,14 @@
 	}
 }
 
+// uncount takes back one of the crashes that were counted under a task.
+func (c *Core) uncount(t *task) {
+	known := t.crashes()
+	known.Count, known.Sure, known.Total = max(known.Count-1, 0), max(known.Sure-1, 0), max(known.Total-1, 0)
+	known.Suspect = known.Suspect && known.Count > 0
+	c.setCrashes(t, known)
+}
+
 // unpromptedCrashes returns how many other VMs crashed without a suspect at about the time
 // of a crash.
 func (c *Core) unpromptedCrashes(crash *vmCrash) int {
@@ -308,7 +347,71 @@
 	return n
 }
 
-// giveUp fails the job of a task that crashes its VMs.
+// delayServiceTask makes a service task wait after a crash in its trial, for longer after
+// each crash. After [maxCrashes] it is suspended: it does not start again, and the rest of its
+// service goes on without it.
+func (c *Core) delayServiceTask(t *task, crash *vmCrash, now time.Time) {
+	if t != crash.onTrial && !t.suspended() {
+		return
+	}
+	known := t.crashes()
+	pause := serviceCrashBackoff << max(known.Count-longTrialCrashes, 0)
+	t.notBefore = now.Add(pause)
+	if t.suspended() {
+		c.stats.Suspended++
+	}
+	c.config.Log.Warn("service task waits because its VMs crash", "run", Run{t.id, t.runNumber}, "vm", crash.vm,
+		"crashes", known.Count, "total", known.Total, "trial", t == crash.onTrial, "pause", pause.Milliseconds(), "suspended", t.suspended())
+}
+
+// suspended reports whether a service task is not started any more because VMs crash under
+// it.
+func (t *task) suspended() bool {
+	return t.stage.step.Service && t.crashes().Count >= maxCrashes
+}
+
+// excuseServices takes a crash back that was counted under service tasks if the VM was lost
+// with many others or with its data centre, once the other VMs had time to miss their holds.
+func (c *Core) excuseServices(crash *vmCrash, now time.Time) {
+	if crash.servicesSettled || now.Sub(crash.foundAt) < serviceVerdictDelay {
+		return
+	}
+	crash.servicesSettled = true
+	if c.unpromptedCrashes(crash) < massCrash && !c.centreLost(crash) {
+		return
+	}
+	for _, t := range crash.tasks {
+		if t.stage.step.Service && !t.stage.trackedJob.state.Phase().Final() {
+			c.uncount(t)
+			t.notBefore = time.Time{}
+		}
+	}
+}
+
+// centreLost reports whether at least half of the VMs in the data centre of a crashed VM
+// were lost at about the same time.
+func (c *Core) centreLost(crash *vmCrash) bool {
+	lost, all := 0, 0
+	for _, v := range c.vms {
+		if v.Centre != crash.centre || v.ID == crash.vm {
+			continue
+		}
+		all++
+		if c.lostNear(v, crash.at) {
+			lost++
+		}
+	}
+	return lost >= massCrash && 2*lost >= all
+}
+
+// lostNear reports whether a VM has crashed or stopped to answer at about the given time.
+func (c *Core) lostNear(v *vm, at time.Time) bool {
+	near := func(t time.Time) bool { return t.Sub(at).Abs() <= serviceVerdictDelay }
+	crash := c.lastCrash[v.ID]
+	return v.missedHolds > 0 && near(v.firstMissedAt) || crash != nil && near(crash.at) || len(v.pastProcessStarts) > 0 && near(v.processStart)
+}
+
+// giveUp fails the job of a batch task that crashes its VMs.
 func (c *Core) giveUp(t *task, crash *vmCrash, now time.Time) {
 	c.stats.GivenUp++
 	for _, earlier := range c.lastCrash {
@@ -575,11 +678,17 @@
 func (c *Core) passTrial(v *vm, now time.Time) {
 	for _, t := range v.trial.tasks {
 		known := t.crashes()
-		known.Count, known.Suspect = min(known.Count, longTrialCrashes-1), false
+		known.Suspect = false
 		if v.trial.long {
-			known.Total, known.Sure = known.Count, min(known.Sure, known.Count)
 			t.longTrialsPassed = min(t.longTrialsPassed+1, maxTrialDoublings)
 		}
+		if !t.stage.step.Service {
+			// The trial of a batch task lasts as long as its run.
+			known.Count = min(known.Count, longTrialCrashes-1)
+		}
+		if v.trial.long && !t.stage.step.Service {
+			known.Total, known.Sure = known.Count, min(known.Sure, known.Count)
+		}
 		c.setCrashes(t, known)
 	}
 	v.endTrial(now)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -257,7 +257,7 @@
 		}
 	}()
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.underVerdict {
+		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.underVerdict || t.suspended() {
 			continue
 		}
 		if !c.withinCap(s, 1) || !c.mayStart() {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -238,6 +238,9 @@
 			"after", now.Sub(r.startSentAt).Milliseconds())
 	}
 	r.vm.recordEnd(t.id.Job, outcome, now)
+	if t.stage.step.Service && now.Sub(r.startSentAt) > settledAge {
+		c.clear(t)
+	}
 	if outcome == Done {
 		c.observeEnd(r, now)
 	}
--- a/schedule/service_crash_test.go
+++ b/schedule/service_crash_test.go
@@ -146,6 +146,7 @@
 				g.Expect(h.jobs[s.Run.Task.Job].Steps[0].Service).To(gomega.BeFalse(), "%v", s)
 			}
 			g.Expect(w.longest).To(gomega.BeNumerically("<=", maxServiceWait))
+			g.Expect(h.core.Stats().Suspended).To(gomega.BeZero())
 		})
 	}
 }
@@ -179,4 +180,3 @@
 	}
 	g.Expect(started).To(gomega.BeTrue())
 }
-
