Clear the bystanders of crashes whose cause was found

Cause: a task under which two VMs crashed starts only in a trial, on a VM of its own. That holds also when both crashes had one cause that was given up since; 330 tasks waited for trials on 33 VMs, the oldest for 48 s. Class: a suspicion that outlives its reason. Change: when a task is given up or suspended, the crashes that it ran through are taken back for the others. Their totals stay, since two causes may meet in one crash, so that no task gets more starts than before. Test: TestBystandersAreCleared (2 crashes left before, none after).

--- a/schedule/core.go
+++ b/schedule/core.go
@@ -140,9 +140,10 @@
 	cordoned map[string]bool
 	stats    Stats
 	// crashes lists the crashes of VMs that may still speak for or against a task, the
-	// oldest first. lastCrash holds the last crash of each VM and machine by its name.
-	crashes   []*vmCrash
-	lastCrash map[string]*vmCrash
+	// oldest first, and unexplained those of which the cause may still be found. lastCrash
+	// holds the last crash of each VM and machine by its name.
+	crashes, unexplained []*vmCrash
+	lastCrash            map[string]*vmCrash
 	// startsInFlight is the number of start orders without an answer yet, and
 	// maxStartsInFlight its limit; zero means none.
 	startsInFlight, maxStartsInFlight int
--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -83,6 +83,8 @@
 	// crashMemory is how long a VM that has crashed for an unknown reason is avoided for
 	// trials. A crash during a trial there does not speak against the task.
 	crashMemory = 10 * time.Second
+	// explanationTime is how long after a crash the task that caused it may be found.
+	explanationTime = time.Minute
 	// trialPatience is how long a suspect waits for a VM without batch tasks, and a VM is
 	// kept free of new tasks for it.
 	trialPatience = 1800 * time.Millisecond
@@ -223,6 +225,7 @@
 	crash.prompted = suspects > 0 || crash.onTrial != nil
 	c.stats.Crashes++
 	c.crashes = append(c.crashes, crash)
+	c.unexplained = append(c.unexplained, crash)
 	c.lastCrash[v.ID] = crash
 	if v.lastMachine != "" {
 		c.lastCrash[v.lastMachine] = crash
@@ -294,6 +297,7 @@
 	c.crashes = slices.DeleteFunc(c.crashes, func(crash *vmCrash) bool {
 		return crash.settled && crash.servicesSettled && now.Sub(crash.foundAt) > verdictDelay+crashWindow
 	})
+	c.unexplained = slices.DeleteFunc(c.unexplained, func(crash *vmCrash) bool { return now.Sub(crash.at) > explanationTime })
 	for name, crash := range c.lastCrash {
 		if now.Sub(crash.at) > crashMemory {
 			delete(c.lastCrash, name)
@@ -323,18 +327,40 @@
 		known.Count = max(known.Count-1, 0)
 		c.setCrashes(t, known)
 	case t == crash.onTrial && (known.Sure >= minSureCrashes || known.Total >= minCrashes) || known.Total >= maxCrashes:
+		c.explainCrashes(t)
 		c.giveUp(t, crash, now)
 	}
 }
 
-// uncount takes back one of the crashes that were counted under a task.
-func (c *Core) uncount(t *task) {
+// uncount takes back one of the crashes that were counted under a task. The total is kept
+// unless the crash is certain not to be due to the task.
+func (c *Core) uncount(t *task, certain bool) {
 	known := t.crashes()
-	known.Count, known.Sure, known.Total = max(known.Count-1, 0), max(known.Sure-1, 0), max(known.Total-1, 0)
+	known.Count, known.Sure = max(known.Count-1, 0), max(known.Sure-1, 0)
 	known.Suspect = known.Suspect && known.Count > 0
+	if certain {
+		known.Total = max(known.Total-1, 0)
+	}
 	c.setCrashes(t, known)
 }
 
+// explainCrashes takes back the crashes that were counted under other tasks and had a task
+// as their cause. It keeps their totals, since two causes may have met in one crash.
+func (c *Core) explainCrashes(cause *task) {
+	for _, crash := range c.unexplained {
+		if crash.explained || !slices.Contains(crash.tasks, cause) {
+			continue
+		}
+		crash.explained = true
+		for _, t := range crash.tasks {
+			if t != cause && !t.done && !t.stage.trackedJob.state.Phase().Final() {
+				c.uncount(t, false)
+			}
+		}
+	}
+	c.unexplained = slices.DeleteFunc(c.unexplained, func(crash *vmCrash) bool { return crash.explained })
+}
+
 // unpromptedCrashes returns how many other VMs crashed without a suspect at about the time
 // of a crash.
 func (c *Core) unpromptedCrashes(crash *vmCrash) int {
@@ -359,6 +385,7 @@
 	t.notBefore = now.Add(pause)
 	if t.suspended() {
 		c.stats.Suspended++
+		c.explainCrashes(t)
 	}
 	c.config.Log.Warn("service task waits because its VMs crash", "run", Run{t.id, t.runNumber}, "vm", crash.vm,
 		"crashes", known.Count, "total", known.Total, "trial", t == crash.onTrial, "pause", pause.Milliseconds(), "suspended", t.suspended())
@@ -382,7 +409,7 @@
 	}
 	for _, t := range crash.tasks {
 		if t.stage.step.Service && !t.stage.trackedJob.state.Phase().Final() {
-			c.uncount(t)
+			c.uncount(t, true)
 			t.notBefore = time.Time{}
 		}
 	}
@@ -414,9 +441,6 @@
 // giveUp fails the job of a batch task that crashes its VMs.
 func (c *Core) giveUp(t *task, crash *vmCrash, now time.Time) {
 	c.stats.GivenUp++
-	for _, earlier := range c.lastCrash {
-		earlier.explained = earlier.explained || slices.Contains(earlier.tasks, t)
-	}
 	c.config.Log.Warn("job failed because a task crashes its VMs", "run", Run{t.id, t.runNumber}, "vm", crash.vm,
 		"crashes", t.crashes().Count, "trial", t == crash.onTrial)
 	c.finishJob(t.stage.trackedJob, job.Failed, now)
--- a/schedule/service_crash_test.go
+++ b/schedule/service_crash_test.go
@@ -180,3 +180,32 @@
 	}
 	g.Expect(started).To(gomega.BeTrue())
 }
+
+// TestBystandersAreCleared guards against tasks that stay suspects after the cause of their crashes was found.
+func TestBystandersAreCleared(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 1)
+	h.workTime = 5 * time.Second
+	h.run(time.Second)
+	h.setDeadly(job.Task{Job: "a"}, 400*time.Millisecond)
+	h.submit(batch("a", 1))
+	bystander := batch("b", 1)
+	h.submit(bystander)
+	crashes := func() job.Crashes {
+		s := job.NewState(bystander)
+		if data := h.records[bystander.ID]; data != nil {
+			g.Expect(s.Load(data)).To(gomega.Succeed())
+		}
+		return s.Crashes(job.Task{Job: bystander.ID})
+	}
+	most := 0
+	for begin := h.now; !phase(h, "a").Final() && h.now.Sub(begin) < playLimit; {
+		h.step(50 * time.Millisecond)
+		most = max(most, crashes().Count)
+	}
+	g.Expect(most).To(gomega.Equal(2), "both ran through two crashes")
+	g.Expect(phase(h, "a")).To(gomega.Equal(job.Failed))
+	h.run(time.Second)
+	g.Expect(crashes().Count).To(gomega.BeZero())
+	g.Expect(phase(h, bystander.ID).Final()).To(gomega.BeFalse())
+}
