Keep service tasks off VMs that a wave takes next

Cause: a VM due for maintenance cost less than an idle one, so a service task was placed onto the busy VM that the same wave takes next. Suspects did not look at it at all. Change: for a service task any other VM is better; VMs for trials are chosen the same way.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -544,8 +544,8 @@
 }
 
 // betterForTrial reports whether a VM is better for a trial than the best one so far, which
-// may be nil: one that has not crashed lately, with no run that could be the cause of a
-// crash, and with the least work to lose.
+// may be nil: one that has not crashed lately, whose machine is not due for maintenance, with
+// no run that could be the cause of a crash, and with the least work to lose.
 func (c *Core) betterForTrial(v, best *vm, now time.Time) bool {
 	if best == nil {
 		return true
@@ -553,6 +553,9 @@
 	if a, b := c.crashedLately(v, now), c.crashedLately(best, now); a != b {
 		return !a
 	}
+	if v.maintenanceDue != best.maintenanceDue {
+		return best.maintenanceDue
+	}
 	if a, b := v.youngRuns(now), best.youngRuns(now); a != b {
 		return a < b
 	}
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -97,7 +97,7 @@
 	if v.trial != nil {
 		sum += costTrial
 	}
-	return sum + v.maintenanceCost()
+	return sum + v.maintenanceCost(t.stage.step.Service)
 }
 
 // planGang starts all tasks of a gang at once, or none. It returns false if the VMs or
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -14,8 +14,11 @@
 	// has to finish its tasks.
 	maxDrainTimeout = 2500 * time.Millisecond
 	// maintenanceDueCost is the placement cost of a VM whose machine is due for
-	// maintenance: a task placed there would soon be evicted.
-	maintenanceDueCost = 0.4
+	// maintenance: a task placed there would soon be evicted. For a service task, which
+	// certainly outlasts the wave, maintenanceDueServiceCost exceeds what any other VM costs
+	// that is idle or has failed.
+	maintenanceDueCost        = 0.4
+	maintenanceDueServiceCost = 2.0
 )
 
 // wave tracks the progress of one maintenance wave.
@@ -284,11 +287,14 @@
 
 // maintenanceCost returns the placement cost that is added to a VM whose machine is due
 // for maintenance.
-func (v *vm) maintenanceCost() float64 {
-	if v.maintenanceDue {
-		return maintenanceDueCost
+func (v *vm) maintenanceCost(service bool) float64 {
+	switch {
+	case !v.maintenanceDue:
+		return 0
+	case service:
+		return maintenanceDueServiceCost
 	}
-	return 0
+	return maintenanceDueCost
 }
 
 // markMaintenanceDue marks the VMs on machines of waves whose maintenance has not begun,
