Bound the pause after a plan, and leave out its wait for the lock

Cause: the pause after a plan is four times what it took, to give a busy processor to orders and answers, but the time included the wait for the owner's lock, during which these have the processor anyway. Change: only the plan itself counts, and the pause is at most 100 ms, the interval of plans without an event.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -33,9 +33,10 @@
 	// batched.
 	minPlanPause = 4 * time.Millisecond
 	// planPauseFactor makes the pause after a plan at least this many times as long
-	// as the plan took, so that orders and answers get their share of a busy
-	// processor.
+	// as the plan took, up to maxPlanPause, so that orders and answers get their share of
+	// a busy processor. A single long plan must not keep tasks from starting for longer.
 	planPauseFactor = 4
+	maxPlanPause    = planInterval
 	// commitPause is the pause between two commits, so that records are batched.
 	commitPause = 12 * time.Millisecond
 	// callTimeout bounds an order to a VM, and a hold in addition to the time that the VM
@@ -259,26 +260,32 @@
 		case <-o.planWake:
 		case <-tick.C:
 		}
-		began := time.Now()
+		took := time.Duration(0)
 		if o.config.HoldsOwnership() {
-			o.planOnce()
+			took = o.planOnce()
 		}
-		if !delay.Sleep(o.ctx, max(minPlanPause, planPauseFactor*time.Since(began))) {
+		if !delay.Sleep(o.ctx, planPause(took)) {
 			return
 		}
 	}
 }
 
-// planOnce makes one plan and starts its actions.
-func (o *Owner) planOnce() {
+// planPause returns the pause after a plan that took that long, without its wait for o.mu:
+// while others hold the lock, they have their share of the processor.
+func planPause(took time.Duration) time.Duration {
+	return min(max(minPlanPause, planPauseFactor*took), maxPlanPause)
+}
+
+// planOnce makes one plan and starts its actions. It returns how long that took.
+func (o *Owner) planOnce() time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.active || o.listAwaited {
-		return
+		return 0
 	}
 	if o.core.FencesUsedUp() {
 		o.config.StepDown("fencing tokens used up")
-		return
+		return 0
 	}
 	began := time.Now()
 	if o.storeUnavailable() || o.queueTooOld() {
@@ -290,11 +297,13 @@
 	for _, a := range o.core.Plan(began) {
 		o.execute(a)
 	}
-	o.load.addPlan(time.Since(began))
+	took := time.Since(began)
+	o.load.addPlan(took)
 	o.logLoad(began)
 	if o.core.NeedsMachineList() {
 		wake(o.machinesWake)
 	}
+	return took
 }
 
 // logCongestion logs congestion, at most once in congestionLogInterval. The caller holds
