Let an owner whose pledges were interrupted wait for the store's confirmation

Cause: pledges were looked at one moment at a time. While they are interrupted, an entry that reaches the store may be elected; those that then pledge again may be cut off and know nothing of it. An entry that had called the owner without a pledge was forgotten after two seconds, although nothing had shown that it was gone. Class: a promise that holds only without a gap, checked as if it held by itself. Change: a pledge that comes after a gap, or for the first time from a registered entry after the store's confirmation has run out, does not count until the store confirms the ownership again. Entries that have called are needed until the registrations have been read since. It costs outages in which an entry is frozen or cut off for longer than its pledge: the owner then stops until the store is back. Tests: TestNoOwnershipAfterLapse, both cases fail before (two owners).

--- a/shard/election.go
+++ b/shard/election.go
@@ -250,7 +250,7 @@
 	s.isOwner = true
 	s.candidateEpoch = 0
 	s.ownEpoch = term.Epoch
-	s.confirmedAt = sent
+	s.confirmedAt, s.lapsed = sent, false
 	s.deadRun = ""
 	s.setOwner(Owner{Member: s.config.Self, Epoch: term.Epoch}, term.Tail.Rev)
 	s.ownerReadRev = max(s.ownerReadRev, term.Tail.Rev)
--- a/shard/pledge.go
+++ b/shard/pledge.go
@@ -17,7 +17,13 @@
 		return false
 	}
 	now := s.config.Clock()
-	return now-min(s.renewedAt, s.confirmedAt) < TTL-safetyMargin || s.allPledged(now)
+	return now < s.confirmedUntil() || !s.lapsed && s.allPledged(now)
+}
+
+// confirmedUntil returns the time until which the store lets this entry act as the owner. The
+// caller holds s.mu.
+func (s *Shard) confirmedUntil() time.Duration {
+	return min(s.renewedAt, s.confirmedAt) + TTL - safetyMargin
 }
 
 // allPledged reports whether there are other entries and all of them have given
@@ -35,8 +41,8 @@
 			out = append(out, name)
 		}
 	}
-	for name, at := range s.reported {
-		if _, known := s.members[name]; !known && now-at < PledgeDuration && !s.pledged(name, now) {
+	for name := range s.reported {
+		if _, known := s.members[name]; !known && !s.pledged(name, now) {
 			out = append(out, name)
 		}
 	}
@@ -111,5 +117,28 @@
 func (s *Shard) RecordPledge(name string, requestedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	_, member := s.members[name]
+	_, before := s.pledges[name]
+	if (member || before) && requestedAt >= s.confirmedUntil() && !s.pledged(name, requestedAt) {
+		s.lapse(name)
+	}
 	s.pledges[name] = requestedAt
 }
+
+// lapse records that for some time nothing kept an entry from campaigning while this one
+// could not reach the store. Another owner may have been elected since, of which those that
+// pledge know nothing, so that only the store can confirm the ownership. The caller holds s.mu.
+func (s *Shard) lapse(name string) {
+	if s.isOwner && !s.lapsed {
+		s.config.Log.Warn("ownership needs the store's confirmation, because a pledge was interrupted", "epoch", s.ownEpoch, "entry", name)
+		s.lapsed = true
+	}
+}
+
+// forgetReported forgets the entries that were reported before a time at which the
+// registrations were still to be read. Those that are registered are known as members now.
+func (s *Shard) forgetReported(before time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.reported, func(_ string, at time.Duration) bool { return at < before })
+}
--- a/shard/registration.go
+++ b/shard/registration.go
@@ -109,7 +109,7 @@
 	s.mu.Lock()
 	unchanged := item.Rev != 0 && item.Rev == s.ownerRev
 	if unchanged {
-		s.confirmedAt = sent
+		s.confirmedAt, s.lapsed = sent, false
 	}
 	s.mu.Unlock()
 	if !unchanged {
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -160,8 +160,12 @@
 	// it was sent.
 	pledges map[string]time.Duration
 	// reported holds, by name, when each other entry last called this one or was named
-	// with a pledge. It may have registered while this entry can't reach the store.
+	// with a pledge, until the registrations have been read since. It may have registered
+	// while this entry can't reach the store.
 	reported map[string]time.Duration
+	// lapsed is set while the pledges that this owner has may have come after the election
+	// of another one; see [Shard.lapse].
+	lapsed bool
 	// candidateEpoch is the epoch of an election of this entry whose transaction may still
 	// take effect; zero means none.
 	candidateEpoch int64
--- a/shard/watch.go
+++ b/shard/watch.go
@@ -42,6 +42,7 @@
 func (s *Shard) readRegistrations() (int64, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
+	sent := s.config.Clock()
 	items, rev, err := store.ReadAll(ctx, s.config.Store, s.livePrefix())
 	if err != nil {
 		return 0, err
@@ -65,6 +66,7 @@
 	}
 	s.mu.Unlock()
 	s.applyOwner(owner, rev)
+	s.forgetReported(sent)
 	return rev, nil
 }
 
@@ -83,6 +85,7 @@
 func (s *Shard) followChanges(after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(s.ctx, watchWait+callTimeout)
 	defer cancel()
+	sent := s.config.Clock()
 	events, next, err := s.config.Store.Watch(ctx, s.livePrefix(), after, watchWait)
 	if err != nil {
 		return after, err
@@ -90,6 +93,7 @@
 	for _, e := range events {
 		s.applyEvent(e)
 	}
+	s.forgetReported(sent)
 	return next, nil
 }
 
