Hold the limit on crashes for tasks that meet and over a change of owner

Cause, two: a crash that was put down to one deadly task was taken back for another that had met it there, so that this one went into short trials with others again, which accuse nobody. And a change of owner may lose the record of one crash, so that five counted ones are six. Change: from the third crash on a batch task has its trial alone, whatever was taken back, and for jobs from an earlier epoch four crashes suffice.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -131,8 +131,24 @@
 
 // isSuspect reports whether a task may start only in a trial.
 func (c *Core) isSuspect(t *task) bool {
+	return t.crashes().Suspect || t.needsLongTrial()
+}
+
+// needsLongTrial reports whether the trial of a task lasts as long as its run. The third crash
+// under a batch task counts for that also if it was put down to another one, since two causes
+// may have met and few starts are left.
+func (t *task) needsLongTrial() bool {
 	known := t.crashes()
-	return known.Suspect || known.Count >= longTrialCrashes
+	return known.Count >= longTrialCrashes || known.Total >= minCrashes && !t.stage.step.Service
+}
+
+// crashLimit returns the number of crashes under a batch task at which it is given up in any
+// case. A change of owner may have lost the record of one.
+func (c *Core) crashLimit(t *task) int {
+	if t.stage.trackedJob.Epoch < c.epoch {
+		return maxCrashes - 1
+	}
+	return maxCrashes
 }
 
 // setCrashes changes what is known of the crashes under a task.
@@ -201,7 +217,7 @@
 			c.delayServiceTask(t, crash, now)
 			continue
 		}
-		t.underVerdict = t.underVerdict || t == crash.onTrial || known.Total >= maxCrashes
+		t.underVerdict = t.underVerdict || t == crash.onTrial || known.Total >= c.crashLimit(t)
 		c.setCrashes(t, known)
 	}
 	v.trial = nil
@@ -305,11 +321,11 @@
 	}
 	known := t.crashes()
 	switch {
-	case mass && t.excuses < maxExcuses && known.Total < maxCrashes:
+	case mass && t.excuses < maxExcuses && known.Total < c.crashLimit(t):
 		t.excuses++
 		known.Count = max(known.Count-1, 0)
 		c.setCrashes(t, known)
-	case t == crash.onTrial && (known.Sure >= minSureCrashes || known.Total >= minCrashes) || known.Total >= maxCrashes:
+	case t == crash.onTrial && (known.Sure >= minSureCrashes || known.Total >= minCrashes) || known.Total >= c.crashLimit(t):
 		c.explainCrashes(t)
 		c.giveUp(t, crash, now)
 	}
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -247,9 +247,9 @@
 	blockedSince := s.blockedSince
 	s.blockedSince = time.Time{}
 	placed := 0
-	// noTrial is set, by the number of crashes, once no VM was found for a suspect. None is
+	// noTrial is set, by whether the trial is long, once no VM was found for a suspect. None is
 	// found for the others of the stage either.
-	noTrial := make(map[int]bool)
+	noTrial := make(map[bool]bool)
 	defer func() {
 		if placed > 0 {
 			c.config.Log.Info("tasks placed", "job", s.id.Job, "occurrence", s.id.Occurrence, "step", s.id.Step,
@@ -265,13 +265,13 @@
 			return false
 		}
 		if c.isSuspect(t) {
-			kind := min(t.crashes().Count, longTrialCrashes)
-			if noTrial[kind] {
+			long := t.needsLongTrial()
+			if noTrial[long] {
 				continue
 			}
 			v := c.trialVM(t, vms, now)
 			if v == nil {
-				noTrial[kind] = true
+				noTrial[long] = true
 				continue
 			}
 			c.startRun(t, v, t.runNumber+1, now)
--- a/schedule/service_crash_test.go
+++ b/schedule/service_crash_test.go
@@ -202,3 +202,36 @@
 	g.Expect(crashes().Count).To(gomega.BeZero())
 	g.Expect(phase(h, bystander.ID).Final()).To(gomega.BeFalse())
 }
+
+// TestDeadlyTasksThatMeet guards against deadly tasks that are started again and again because crashes in which they met others are put down to these.
+func TestDeadlyTasksThatMeet(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			random := rand.New(rand.NewPCG(seed, 37))
+			h := newHarness(t, 6)
+			h.run(time.Second)
+			jobs := newLoadJobs(40)
+			for i := range jobs {
+				if random.IntN(3) == 0 {
+					h.setDeadly(job.Task{Job: jobs[i].ID}, time.Duration(random.IntN(20))*time.Millisecond)
+				}
+			}
+			changed := false
+			// One change of owner may lose the record of one crash.
+			change := h.now.Add(time.Duration(1000+random.IntN(4000)) * time.Millisecond)
+			h.play(jobs, 100*time.Millisecond, func() {
+				switch {
+				case changed || h.now.Before(change):
+				case h.now.Before(change.Add(100 * time.Millisecond)):
+					h.storeDown = true
+				default:
+					changed = true
+					h.changeOwner()
+					h.storeDown = false
+				}
+			})
+			g.Expect(h.unexpectedPhases()).To(gomega.BeEmpty())
+		})
+	}
+}
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -30,7 +30,7 @@
 	if !t.stage.trackedJob.crashesRecorded() {
 		return nil
 	}
-	long := t.crashes().Count >= longTrialCrashes
+	long := t.needsLongTrial()
 	if long && t.trialAwaitedSince.IsZero() {
 		t.trialAwaitedSince = now
 	}
@@ -217,7 +217,7 @@
 func (c *Core) beginTrial(t *task, v *vm, now time.Time) {
 	c.stats.Trials++
 	t.trialAwaitedSince = time.Time{}
-	long := t.crashes().Count >= longTrialCrashes
+	long := t.needsLongTrial()
 	if !long && v.trial != nil && v.trial.joinable() {
 		v.trial.tasks = append(v.trial.tasks, t)
 		v.trial.until, v.trial.reportRequested = now.Add(shortTrialTime), false
