Name the tracker of waits in a test for what it is

Cause: read as a newcomer, the comment of longestWaits said that a type returns something. Change: longestWait, which tracks. No check changes.

--- a/schedule/service_crash_test.go
+++ b/schedule/service_crash_test.go
@@ -27,14 +27,13 @@
 	return nil
 }
 
-// longestWaits returns the longest time for which each task of a service had no run, over
-// the steps in which it was called.
-type longestWaits struct {
+// longestWait tracks the longest time for which one of some tasks had no run.
+type longestWait struct {
 	since   map[job.Task]time.Time
 	longest time.Duration
 }
 
-func (w *longestWaits) look(h *harness, tasks []job.Task) {
+func (w *longestWait) look(h *harness, tasks []job.Task) {
 	if w.since == nil {
 		w.since = make(map[job.Task]time.Time)
 	}
@@ -69,7 +68,7 @@
 				h.submit(service("s", 4, 1))
 				h.run(time.Second)
 				tasks := tasksOf("s", 4)
-				var w longestWaits
+				var w longestWait
 				runFor := func(d time.Duration) {
 					for range int(d / (50 * time.Millisecond)) {
 						h.step(50 * time.Millisecond)
@@ -125,7 +124,7 @@
 				}
 			}
 			nextLoss := h.now.Add(5 * time.Second)
-			var w longestWaits
+			var w longestWait
 			h.play(jobs, loadInterval, func() {
 				if h.now.After(nextLoss) {
 					nextLoss = h.now.Add(time.Duration(4000+random.IntN(4000)) * time.Millisecond)
