Give the entries of a test processes of their own

Cause: the test, not the code. Its three entries had the same process id, so the owner key of c looked like the key of the former owner's own process, which then went on. Change: ids of their own, as entries have. The checks stay as they are.

--- a/shard/lapse_test.go
+++ b/shard/lapse_test.go
@@ -30,7 +30,7 @@
 				owner := startShard(aLink, "a", "1", nil)
 				defer owner.Close()
 				time.Sleep(time.Second)
-				b := startShard(bLink, "b", "1", nil)
+				b := startShard(bLink, "b", "2", nil)
 				defer b.Close()
 				time.Sleep(3 * time.Second)
 				g.Expect(owner.HoldsOwnership()).To(gomega.BeTrue())
@@ -46,7 +46,7 @@
 					pledge()
 				}
 				g.Expect(owner.HoldsOwnership()).To(gomega.BeTrue(), "on pledges")
-				next := startShard(k, "c", "1", nil)
+				next := startShard(k, "c", "3", nil)
 				defer next.Close()
 				if c.reports {
 					owner.ObserveEntries("c")
