Log what the owner starts and calls in a second, and how long it waits for the processor

'owner load' had no starts, no holds and their results, no plans that left the window full and no wait for the processor, so that a limit of the processor, of the window and of the plans could not be told apart in a given second. It has them now: starts, full, holds, refused, unanswered, late.

--- a/owner/load.go
+++ b/owner/load.go
@@ -1,6 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"almondcove/schedule"
+)
 
 // loadLogInterval is the time between two log lines on the load of the owner.
 const loadLogInterval = time.Second
@@ -17,6 +21,26 @@
 	committing, longest time.Duration
 	// jobs, states, parts and removed count the records in these commits.
 	jobs, states, parts, removed int
+	// starts counts the start orders that VMs accepted, and full the plans after which as many
+	// were in flight as the window allows.
+	starts, full int
+	// holds, refused and unanswered count the holds that VMs accepted, those that could not
+	// be sent, and those without an answer.
+	holds, refused, unanswered int
+	// late is the longest time for which planLoop waited for the processor after a pause.
+	late time.Duration
+}
+
+// addHold counts the result of a hold.
+func (l *load) addHold(r schedule.Result) {
+	switch r {
+	case schedule.Accepted:
+		l.holds++
+	case schedule.Unsent:
+		l.refused++
+	case schedule.Unanswered:
+		l.unanswered++
+	}
 }
 
 // addPlan counts a plan.
@@ -51,6 +75,7 @@
 		"jobs", l.jobs, "states", l.states, "parts", l.parts, "removed", l.removed,
 		"queued", len(o.commitQueue), "unrecorded", backlog.States, "oldest", backlog.Oldest.Milliseconds(),
 		"outdated", backlog.Parts, "unready", backlog.Unready,
-		"starting", backlog.Starting, "window", o.congestion.Window(), "delay", o.congestion.Delay().Milliseconds(),
+		"starts", l.starts, "starting", backlog.Starting, "window", o.congestion.Window(), "full", l.full,
+		"holds", l.holds, "refused", l.refused, "unanswered", l.unanswered, "late", l.late.Milliseconds(), "delay", o.congestion.Delay().Milliseconds(),
 		"silent", backlog.Silent, "gates", backlog.Gates)
 }
--- a/owner/orders.go
+++ b/owner/orders.go
@@ -88,6 +88,9 @@
 		func(ctx context.Context) schedule.Result { return o.config.VMs.Start(ctx, v, a) },
 		func(r schedule.Result, now time.Time) {
 			o.observeCall(r, now.Sub(sent), now)
+			if r == schedule.Accepted {
+				o.load.starts++
+			}
 			core.Started(a, r, now)
 		})
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -264,12 +264,21 @@
 		if o.config.HoldsOwnership() {
 			took = o.planOnce()
 		}
-		if !delay.Sleep(o.ctx, planPause(took)) {
+		pause, began := planPause(took), time.Now()
+		if !delay.Sleep(o.ctx, pause) {
 			return
 		}
+		o.recordLateness(time.Since(began) - pause)
 	}
 }
 
+// recordLateness records how long planLoop waited for the processor after a pause.
+func (o *Owner) recordLateness(late time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.load.late = max(o.load.late, late)
+}
+
 // planPause returns the pause after a plan that took that long, without its wait for o.mu:
 // while others hold the lock, they have their share of the processor.
 func planPause(took time.Duration) time.Duration {
@@ -299,6 +308,9 @@
 	}
 	took := time.Since(began)
 	o.load.addPlan(took)
+	if o.core.StartsLimited() {
+		o.load.full++
+	}
 	o.logLoad(began)
 	if o.core.NeedsMachineList() {
 		wake(o.machinesWake)
--- a/owner/session.go
+++ b/owner/session.go
@@ -101,6 +101,7 @@
 	o.config.Ordered("hold", result.String())
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.load.addHold(result)
 	// An answer that comes before the wait is over does not tell its delay.
 	if delay >= 0 {
 		o.observeCall(result, delay, time.Now())
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -110,6 +110,9 @@
 	return c.maxStartsInFlight == 0 || c.startsInFlight < c.maxStartsInFlight
 }
 
+// StartsLimited reports whether no other start order may be given until one is answered.
+func (c *Core) StartsLimited() bool { return !c.mayStart() }
+
 // planPool starts waiting tasks of one pool, the most important first.
 func (c *Core) planPool(p *pool, now time.Time) {
 	stages := c.rankedBacklog(p, now)
