Record the VMs whose machines have left, so that a new owner leaves them out

Callers saw tasks start late for four seconds after each change of owner. An owner keeps a VM whose machine was moved or sent to maintenance out for 10 s, since the platform's list still shows it, but did not record that: the next owner took all of them up from the list, called each every 100 ms and counted them as supply of their pools.

The parts of the record of the VMs now hold them. A VM that is listed with another start time is a later process and is taken up at once, also by the same owner.

TestRetiredVMAfterChangeOfOwner fails on the code before. In TestMachineOrdersAcrossOwners the VM now restarts with its maintenance, as on the platform; the test expects the same as before.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -53,6 +53,7 @@
 			recorded[place.ID] = true
 		}
 		out.VMs = append(out.VMs, part.VMs...)
+		out.Retired = append(out.Retired, part.Retired...)
 	}
 	if len(record.VMs) == 0 || string(record.VMs) == noVMs {
 		return out, nil
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -85,7 +85,7 @@
 	teams  map[string]*team
 	// retired maps the id of each VM whose machine was moved or sent to maintenance
 	// to the time of its removal.
-	retired map[string]time.Time
+	retired map[string]retirement
 	// gates holds, by VM id, a gate for each VM that may run tasks of the previous
 	// owner and has not yet reported to this one.
 	gates map[string]*gate
@@ -311,7 +311,7 @@
 		active:   make(map[job.ID]*trackedJob),
 		teams:    make(map[string]*team),
 		gates:    make(map[string]*gate),
-		retired:  make(map[string]time.Time),
+		retired:  make(map[string]retirement),
 		averages: make(map[string]*queueAverages),
 		dirty:    make(map[job.ID]*trackedJob),
 		machines: make(map[string]Machine),
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -19,6 +19,18 @@
 	// the machines that it has given orders for within [Config.MachineOrderGap].
 	HandedOver bool     `json:"left,omitempty"`
 	Ordered    []string `json:"ordered,omitempty"`
+	// Retired lists the VMs whose machines were moved or sent to maintenance, and which the
+	// platform's list may still show.
+	Retired []RetiredVM `json:"-"`
+}
+
+// RetiredVM is the record of a VM whose machine was moved or sent to maintenance.
+type RetiredVM struct {
+	ID string `json:"vm"`
+	// Born is when the VM's process started. A later process may get tasks.
+	Born time.Time `json:"born"`
+	// Left is how long after the record was made the platform's list may still show the VM.
+	Left time.Duration `json:"left"`
 }
 
 // Place is the record of one VM that may run tasks.
@@ -39,8 +51,9 @@
 // FleetPart is a part of the record of the VMs. The part of a VM follows from its id, so
 // that a change of one VM rewrites few others.
 type FleetPart struct {
-	Number int     `json:"number"`
-	VMs    []Place `json:"vms"`
+	Number  int         `json:"number"`
+	VMs     []Place     `json:"vms"`
+	Retired []RetiredVM `json:"retired,omitempty"`
 }
 
 // FleetParts is the number of parts of the record of the VMs.
@@ -106,7 +119,14 @@
 			out[i].VMs = append(out[i].VMs, c.place(v, now))
 		}
 	}
+	for id, r := range c.retired {
+		left := retiredGracePeriod - now.Sub(r.at)
+		if i, ok := index[partOf(id)]; ok && left > 0 {
+			out[i].Retired = append(out[i].Retired, RetiredVM{ID: id, Born: r.born, Left: left})
+		}
+	}
 	for _, part := range out {
+		slices.SortFunc(part.Retired, func(a, b RetiredVM) int { return cmp.Compare(a.ID, b.ID) })
 		slices.SortFunc(part.VMs, func(a, b Place) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return out
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -130,6 +130,7 @@
 	fleet := h.recordedFleet
 	for n := range schedule.FleetParts {
 		fleet.VMs = append(fleet.VMs, h.recordedParts[n].VMs...)
+		fleet.Retired = append(fleet.Retired, h.recordedParts[n].Retired...)
 	}
 	h.core.RestoreFleet(fleet, h.now, 6500*time.Millisecond)
 	for id, data := range h.records {
--- a/schedule/machine_test.go
+++ b/schedule/machine_test.go
@@ -34,6 +34,7 @@
 			h.core.SetView(h.view, h.now)
 			h.run(200 * time.Millisecond)
 			g.Expect(h.maintained).To(gomega.Equal([]string{"m-vm-0"}))
+			h.vms["vm-0"].Restart(h.now)
 			if c.handOver {
 				h.core.BeginHandover()
 				h.writeRecords()
@@ -70,3 +71,29 @@
 	g.Expect(h.maintained).To(gomega.BeEmpty())
 	g.Expect(h.starts).To(gomega.HaveLen(2))
 }
+
+// TestRetiredVMAfterChangeOfOwner guards against a new owner that takes up VMs whose machines
+// were moved or sent to maintenance, because the platform's list still shows them: it would
+// call them again and again, and count them as supply.
+func TestRetiredVMAfterChangeOfOwner(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	h.maintain("vm-0", 1)
+	h.run(500 * time.Millisecond)
+	g.Expect(h.maintained).To(gomega.Equal([]string{"m-vm-0"}))
+	known := func() bool {
+		_, ok := h.core.VM("vm-0")
+		return ok
+	}
+	h.listVMs()
+	g.Expect(known()).To(gomega.BeFalse())
+	h.changeOwner()
+	g.Expect(known()).To(gomega.BeFalse(), "after a change of owner")
+	h.run(8 * time.Second)
+	h.changeOwner()
+	g.Expect(known()).To(gomega.BeFalse(), "after another one")
+	h.vms["vm-0"].Restart(h.now)
+	h.listVMs()
+	g.Expect(known()).To(gomega.BeTrue(), "a later process")
+}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -143,7 +143,7 @@
 func (c *Core) SetVMs(list []VM, now time.Time) {
 	present := make(map[string]bool, len(list))
 	for _, listed := range list {
-		if retiredAt, ok := c.retired[listed.ID]; ok && now.Sub(retiredAt) < retiredGracePeriod {
+		if r, ok := c.retired[listed.ID]; ok && listed.Born.Equal(r.born) && now.Sub(r.at) < retiredGracePeriod {
 			continue
 		}
 		present[listed.ID] = true
@@ -153,7 +153,7 @@
 		}
 		c.updateVM(v, listed, now)
 	}
-	maps.DeleteFunc(c.retired, func(_ string, at time.Time) bool { return now.Sub(at) >= retiredGracePeriod })
+	maps.DeleteFunc(c.retired, func(_ string, r retirement) bool { return now.Sub(r.at) >= retiredGracePeriod })
 	for id, v := range c.vms {
 		if !present[id] && v.listed {
 			v.listed = false
@@ -167,6 +167,12 @@
 // machine was moved or sent to maintenance.
 const retiredGracePeriod = 10 * time.Second
 
+// retirement is the removal of a VM whose machine was moved or sent to maintenance.
+type retirement struct {
+	// born is the start time of the VM's process in the platform's list.
+	born, at time.Time
+}
+
 // retireVM removes a VM whose machine is moved or sent to maintenance, unless the
 // VM still has runs.
 func (c *Core) retireVM(id string, now time.Time) {
@@ -174,7 +180,7 @@
 	if v == nil || len(v.runs) > 0 {
 		return
 	}
-	c.retired[id] = now
+	c.retired[id] = retirement{born: v.Born, at: now}
 	c.removeVM(v)
 }
 
