Let other entries carry the owner's calls to the VMs of a large fleet

Callers of a large fleet saw their jobs served late, although hundreds of VMs were idle: one owner made every call to every VM, each at about 150 us of its processor, so that starts, holds, commits and answers waited for each other.

The owner still decides on each call. Above 400 VMs it passes the call to a carrier, an entry in the VM's data centre that is chosen by power and rendezvous hashing, in batches on one stream for each carrier.

The window of start orders and the interval of holds now follow what a call costs the owner.

--- a/congestion/congestion.go
+++ b/congestion/congestion.go
@@ -49,8 +49,8 @@
 	raiseStretch = 1.2
 	lowerStretch = 0.95
 
-	// minWindow and maxWindow bound the start orders in flight. The calls of one plan are
-	// sent in one burst, behind which all else waits for the processor, commits among it: with
+	// minWindow and maxWindow bound the start orders in flight, if the entry makes all calls
+	// itself. The calls of one plan are sent in one burst, behind which all else waits for the processor, commits among it: with
 	// 64, at about 150 microseconds each, for 10 ms.
 	minWindow = 8
 	maxWindow = 64
@@ -77,13 +77,24 @@
 	answered, lost int
 	// stretch is the factor of the interval between two holds of a VM.
 	stretch float64
-	// window is the greatest number of start orders in flight.
-	window float64
+	// window is the greatest number of start orders in flight, and maxWindow its bound.
+	window, maxWindow float64
 }
 
 // New returns a controller that does not limit anything yet.
 func New() *Controller {
-	return &Controller{stretch: 1, window: maxWindow}
+	return &Controller{stretch: 1, window: maxWindow, maxWindow: maxWindow}
+}
+
+// SetCost sets what a call costs this entry, as a fraction of what one costs that it makes
+// itself. The window may become the larger the less a call costs.
+func (c *Controller) SetCost(fraction float64) {
+	unlimited := c.window == c.maxWindow
+	c.maxWindow = maxWindow / fraction
+	if unlimited {
+		c.window = c.maxWindow
+	}
+	c.window = min(c.window, c.maxWindow)
 }
 
 // Observe records that a call was answered, and how long after it was sent, without the
@@ -122,7 +133,7 @@
 		if c.delay <= lowDelay {
 			grown = max(grown, c.window*reopenWindow)
 		}
-		c.window = min(grown, maxWindow)
+		c.window = min(grown, c.maxWindow)
 		return
 	}
 	c.reduce()
--- a/congestion/congestion_test.go
+++ b/congestion/congestion_test.go
@@ -187,3 +187,25 @@
 	g.Expect(c.Interval(baseInterval)).To(gomega.Equal(baseInterval))
 	g.Expect(c.Timeout(baseTimeout)).To(gomega.Equal(baseTimeout))
 }
+
+// TestCheaperCalls checks that more start orders may be in flight while each costs less, that
+// congestion still reduces them, and that nothing of this lasts once each costs as much again.
+func TestCheaperCalls(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := congestion.New()
+	c.SetCost(0.2)
+	g.Expect(c.Window()).To(gomega.Equal(5 * congestion.New().Window()))
+	now := time.Unix(1_700_000_000, 0)
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		c.Observe(600*time.Millisecond, now)
+	}
+	g.Expect(c.Window()).To(gomega.Equal(8))
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		c.Observe(3*time.Millisecond, now)
+	}
+	g.Expect(c.Window()).To(gomega.Equal(5 * congestion.New().Window()))
+	c.SetCost(1)
+	g.Expect(c.Window()).To(gomega.Equal(congestion.New().Window()))
+}
--- a/jobs/host.go
+++ b/jobs/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"almondcove/carrier"
 	"almondcove/job"
 	"almondcove/owner"
 	"almondcove/peer"
@@ -68,3 +69,6 @@
 
 // Store returns the store as this entry reaches it.
 func (h *jobHost) Store() store.Store { return h.node.config.Store }
+
+// VMs makes calls to VMs from this entry.
+func (h *jobHost) VMs() carrier.VMs { return h.node.config.VMs }
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -12,7 +12,9 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -21,9 +23,11 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/samber/lo"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/keepalive"
 
+	"almondcove/carrier"
 	"almondcove/delay"
 	"almondcove/ledger"
 	"almondcove/mirror"
@@ -70,6 +74,9 @@
 	keepaliveTimeout = 2 * time.Second
 )
 
+// DefaultMaxDirectVMs is the number of VMs that an owner calls itself.
+const DefaultMaxDirectVMs = 400
+
 // Decoder decodes the records of the operators and of the platform.
 type Decoder interface {
 	// View decodes the operators' records. It reports false while there is no
@@ -95,8 +102,11 @@
 	OperatorRecordsChanged func(items map[string]store.Item, rev int64)
 	Schedule               schedule.Config
 	VMs                    owner.VMs
-	Machines               owner.Machines
-	Advisor                owner.Advisor
+	// MaxDirectVMs is the size of the fleet above which other entries carry the calls of the
+	// owner to its VMs; zero means [DefaultMaxDirectVMs].
+	MaxDirectVMs int
+	Machines     owner.Machines
+	Advisor      owner.Advisor
 	// MaxRecordsAge limits the age of the operators' records by which requests with keys
 	// are served; zero means no limit.
 	MaxRecordsAge time.Duration
@@ -120,6 +130,7 @@
 	relay           *peer.Relay
 	shard           *shard.Shard
 	owner           *owner.Owner
+	carriers        *carrier.Sessions
 	operatorRecords *mirror.Mirror
 	vmList          *mirror.Mirror
 	// vmListOutdated is set when the owner has no list of VMs of the present term, so that
@@ -140,6 +151,9 @@
 	// storePeers holds, by address, when each other entry last reported that it
 	// reaches the store.
 	storePeers map[netip.AddrPort]time.Time
+	// vmsByCentre holds the largest number of VMs that the list has had in each data centre,
+	// so that carriers do not come and go with the VMs.
+	vmsByCentre map[string]int
 	// electedAt is when this entry was last elected.
 	electedAt time.Time
 	leaving   bool
@@ -162,7 +176,8 @@
 	n := &Node{
 		config: c, ctx: ctx, cancel: cancel,
 		lastContact: make(map[string]time.Time), storePeers: make(map[netip.AddrPort]time.Time),
-		fetches: newFetchPlan(), fetchTrigger: make(chan struct{}, 1),
+		vmsByCentre: make(map[string]int),
+		fetches:     newFetchPlan(), fetchTrigger: make(chan struct{}, 1),
 	}
 	n.links = peer.NewJobLinks(c.Network.DialContext)
 	n.relay = peer.NewRelay(peer.RelayConfig{Direct: c.Store, Links: n.links, Peers: n.relayPeers})
@@ -177,13 +192,14 @@
 
 func (n *Node) startOwner() {
 	c := n.config
+	n.carriers = carrier.New(carrier.Config{Direct: c.VMs, Dial: n.links.Carry, Log: c.Log})
 	jobLedger := ledger.New(ledger.Config{Store: n.relay, Prefix: c.Prefix, Run: c.Self.Run, AttemptFailed: func(err error) {
 		c.Log.Warn("commit attempt failed", "error", err)
 	}})
 	n.owner = owner.New(owner.Config{
 		Ledger: jobLedger, Schedule: c.Schedule,
 		HoldsOwnership: n.holdsOwnership,
-		VMs:            c.VMs, Machines: c.Machines, Advisor: c.Advisor,
+		VMs:            n.carriers, Carriers: n.carriers.Links, Machines: c.Machines, Advisor: c.Advisor,
 		StepDown:    n.stepDown,
 		ReportWaves: func(ctx context.Context, s []schedule.WaveState) error { return c.ReportWaves(ctx, n.relay, s) },
 		Committed:   n.metrics.observeCommit, Ordered: n.metrics.countOrder,
@@ -234,11 +250,33 @@
 }
 
 func (n *Node) applyVMList(copied mirror.Snapshot) {
-	if !n.owner.SetVMs(n.config.Decoder.VMs(copied.Items)) {
+	vms := n.config.Decoder.VMs(copied.Items)
+	n.mu.Lock()
+	for centre, count := range lo.CountValuesBy(vms, func(v schedule.VM) string { return v.Centre }) {
+		n.vmsByCentre[centre] = max(n.vmsByCentre[centre], count)
+	}
+	n.mu.Unlock()
+	if !n.owner.SetVMs(vms) {
 		n.vmListOutdated.Store(true)
 	}
 }
 
+// updateCarriers sets the entries that carry the calls to VMs: none unless this entry is the
+// owner.
+func (n *Node) updateCarriers(members []shard.Member) {
+	if !n.holdsOwnership() {
+		n.carriers.SetEntries(nil)
+		return
+	}
+	n.mu.Lock()
+	vms := maps.Clone(n.vmsByCentre)
+	n.mu.Unlock()
+	entries := lo.Map(members, func(m shard.Member, _ int) carrier.Entry {
+		return carrier.Entry{Name: m.Name, Run: m.Run, Centre: m.Centre, Address: m.Address, Power: m.Power}
+	})
+	n.carriers.SetEntries(carrier.Choose(entries, vms, cmp.Or(n.config.MaxDirectVMs, DefaultMaxDirectVMs)))
+}
+
 func (n *Node) startMirrors() {
 	c := n.config
 	n.operatorRecords = mirror.New(mirror.Config{
@@ -301,6 +339,7 @@
 	n.vmList.Close()
 	n.shard.Close()
 	n.owner.Close()
+	n.carriers.Close()
 	n.server.Stop()
 	n.links.Close()
 	n.wg.Wait()
@@ -369,6 +408,7 @@
 		if known && o.Name != n.config.Self.Name {
 			n.exchangeStatus(o.Member)
 		}
+		n.updateCarriers(members)
 		n.maybeYieldOwnership(members)
 		delay.Sleep(n.ctx, statusInterval)
 	}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -62,6 +62,13 @@
 	// clock is the clock of the entries that are started next; nil means one that starts
 	// with the entry.
 	clock func() time.Duration
+	// maxDirectVMs is the size of the fleet above which the entries that are started next
+	// carry calls for each other; zero means the default.
+	maxDirectVMs int
+	// callTime is the processor time of each call of an entry to a VM, and calls counts those
+	// calls by entry.
+	callTime time.Duration
+	calls    map[int]int
 	// maxRecordsAge is the limit of the age of the records at the entries that are started
 	// next.
 	maxRecordsAge time.Duration
@@ -88,7 +95,7 @@
 func newSystem(t *testing.T, entries, vms int) *system {
 	s := &system{
 		t: t, kv: standin.NewKeyValue(), net: &standin.Network{}, checker: standin.NewChecker(),
-		workers: make(map[string]*standin.Worker),
+		workers: make(map[string]*standin.Worker), calls: make(map[int]int),
 	}
 	s.store = s.kv
 	s.machines = standin.NewMachines(standin.MachinesConfig{
@@ -167,7 +174,7 @@
 		Store: s.store, Prefix: "own/", OperatorRecordsPrefix: "conf/", VMsPrefix: "vms/", Decoder: decoder{},
 		OperatorRecordsChanged: recordsChanged,
 		Schedule:               schedule.Config{MaxLease: 6 * time.Second, Retention: time.Minute, MaintenanceTime: time.Second, MoveTime: time.Second, MaxStopTime: time.Second},
-		VMs:                    &vmClient{system: s}, Machines: s.machines, Advisor: s,
+		VMs:                    &vmClient{system: s, entry: i, processor: make(chan struct{}, 1)}, MaxDirectVMs: s.maxDirectVMs, Machines: s.machines, Advisor: s,
 		ReportWaves: func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network:     entryNetwork,
 		Clock:       clock, MaxRecordsAge: s.maxRecordsAge,
@@ -188,12 +195,29 @@
 	return out, 3 * time.Second, nil
 }
 
-// vmClient delivers the owner's orders to the workers.
+// vmClient delivers the orders that an entry sends to the workers.
 type vmClient struct {
 	system *system
+	entry  int
+	// processor takes one value, for the processor time of each call.
+	processor chan struct{}
+}
+
+// spend counts a call and takes its processor time.
+func (c *vmClient) spend() {
+	c.system.mu.Lock()
+	c.system.calls[c.entry]++
+	c.system.mu.Unlock()
+	if c.system.callTime == 0 {
+		return
+	}
+	c.processor <- struct{}{}
+	time.Sleep(c.system.callTime)
+	<-c.processor
 }
 
 func (c *vmClient) Hold(ctx context.Context, v schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
+	c.spend()
 	w := c.system.worker(v.ID)
 	t := time.NewTimer(h.Wait)
 	defer t.Stop()
@@ -206,6 +230,7 @@
 }
 
 func (c *vmClient) Start(_ context.Context, v schedule.VM, a schedule.Start) schedule.Result {
+	c.spend()
 	w := c.system.worker(v.ID)
 	w.Advance(time.Now())
 	var j job.Job
@@ -216,6 +241,7 @@
 }
 
 func (c *vmClient) Stop(_ context.Context, v schedule.VM, a schedule.Stop) schedule.Result {
+	c.spend()
 	return c.system.worker(v.ID).Stop(a)
 }
 
@@ -405,16 +431,20 @@
 				for seed := first; seed < first+seedsPerSubtest; seed++ {
 					r := rand.New(rand.NewPCG(seed, 1))
 					faultA, faultB := all[int(seed)%len(all)], all[r.IntN(len(all))]
-					runFaults(t, r, faultA, faultB, fmt.Sprintf("seed %d, %s, %s", seed, faultA.name, faultB.name))
+					runFaults(t, r, 0, faultA, faultB, fmt.Sprintf("seed %d, %s, %s", seed, faultA.name, faultB.name))
 				}
 			})
 		})
 	}
 }
 
-func runFaults(t *testing.T, r *rand.Rand, faultA, faultB fault, label string) {
+func runFaults(t *testing.T, r *rand.Rand, maxDirectVMs int, faultA, faultB fault, label string) {
 	g := gomega.NewWithT(t)
-	s := newSystem(t, 3, 4)
+	s := newSystem(t, 0, 4)
+	s.maxDirectVMs = maxDirectVMs
+	for i := range 3 {
+		s.nodes = append(s.nodes, s.startEntry(i, "a"))
+	}
 	time.Sleep(3 * time.Second)
 	accepted := make(map[job.ID]owner.Outcome)
 	submit := func(n int) {
--- a/jobs/metrics.go
+++ b/jobs/metrics.go
@@ -96,6 +96,7 @@
 	recordsAgeDesc  = prometheus.NewDesc("almondcove_records_age_seconds", "Time since the operators' records were known to be current.", nil, nil)
 	callDelayDesc   = prometheus.NewDesc("almondcove_vm_call_delay_seconds", "Mean delay of the owner's calls to VMs.", nil, nil)
 	startWindowDesc = prometheus.NewDesc("almondcove_start_window", "Start orders that the owner may have in flight.", nil, nil)
+	carriersDesc    = prometheus.NewDesc("almondcove_carriers", "Entries that carry the owner's calls to VMs.", nil, nil)
 	vmsDesc         = prometheus.NewDesc("almondcove_vms", "VMs of the owner by pool and state.", []string{"pool", "state"}, nil)
 	waitingDesc     = prometheus.NewDesc("almondcove_tasks_waiting", "Tasks that wait for a VM, by pool.", []string{"pool"}, nil)
 	startsDesc      = prometheus.NewDesc("almondcove_task_starts_total", "Orders to start a task.", nil, nil)
@@ -112,7 +113,7 @@
 func (nc *nodeCollector) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		ownerDesc, epochDesc, recordsDesc, storeDesc, vmsDesc, waitingDesc, startsDesc, endsDesc, failuresDesc, lapsesDesc,
-		recordsAgeDesc, callDelayDesc, startWindowDesc, crashesDesc, trialsDesc, givenUpDesc, suspendedDesc,
+		recordsAgeDesc, callDelayDesc, startWindowDesc, crashesDesc, trialsDesc, givenUpDesc, suspendedDesc, carriersDesc,
 	} {
 		c <- d
 	}
@@ -149,6 +150,7 @@
 	delay, window := nc.node.owner.Congestion()
 	gauge(callDelayDesc, delay.Seconds())
 	gauge(startWindowDesc, float64(window))
+	gauge(carriersDesc, float64(nc.node.carriers.Links()))
 	count(startsDesc, stats.Starts)
 	count(endsDesc, stats.Ends)
 	count(failuresDesc, stats.Failures)
--- a/owner/load.go
+++ b/owner/load.go
@@ -76,6 +76,14 @@
 		"queued", len(o.commitQueue), "unrecorded", backlog.States, "oldest", backlog.Oldest.Milliseconds(),
 		"outdated", backlog.Parts, "unready", backlog.Unready,
 		"starts", l.starts, "starting", backlog.Starting, "window", o.congestion.Window(), "full", l.full,
-		"holds", l.holds, "refused", l.refused, "unanswered", l.unanswered, "late", l.late.Milliseconds(), "delay", o.congestion.Delay().Milliseconds(),
+		"holds", l.holds, "refused", l.refused, "unanswered", l.unanswered, "late", l.late.Milliseconds(), "carriers", o.carriers(), "delay", o.congestion.Delay().Milliseconds(),
 		"silent", backlog.Silent, "gates", backlog.Gates)
 }
+
+// carriers returns the number of entries that carry calls to VMs.
+func (o *Owner) carriers() int {
+	if o.config.Carriers == nil {
+		return 0
+	}
+	return o.config.Carriers()
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -47,6 +47,9 @@
 	// processor handles all reports.
 	minHoldInterval   = 50 * time.Millisecond
 	holdIntervalPerVM = 400 * time.Microsecond
+	// carriedCallCost is the processor time of a call that a carrier makes, as a fraction of
+	// that of a call that this entry makes itself.
+	carriedCallCost = 0.2
 	// holdRetryDelay is the pause after a failed hold.
 	holdRetryDelay = 100 * time.Millisecond
 	// loadRetryDelay is the pause after a failed attempt to read the records.
@@ -95,8 +98,11 @@
 	// HoldsOwnership reports whether this entry is the owner and may send orders.
 	HoldsOwnership func() bool
 	VMs            VMs
-	Machines       Machines
-	Advisor        Advisor
+	// Carriers returns the number of entries through which VMs makes its calls; nil means
+	// that it makes all of them from this entry.
+	Carriers func() int
+	Machines Machines
+	Advisor  Advisor
 	// ReportWaves writes the progress of maintenance waves.
 	ReportWaves func(ctx context.Context, states []schedule.WaveState) error
 	// StepDown is called if the owner can't read the records. It must give up the
@@ -301,6 +307,7 @@
 		o.core.JobsRefused(began)
 	}
 	o.refuseQueued()
+	o.congestion.SetCost(o.callCost())
 	o.core.LimitStarts(o.congestion.Window())
 	o.logCongestion()
 	for _, a := range o.core.Plan(began) {
@@ -318,6 +325,12 @@
 	return took
 }
 
+// callCost returns what a call to a VM costs this entry, as a fraction of what it costs
+// without carriers.
+func (o *Owner) callCost() float64 {
+	return max(1/float64(max(o.carriers(), 1)), carriedCallCost)
+}
+
 // logCongestion logs congestion, at most once in congestionLogInterval. The caller holds
 // o.mu.
 func (o *Owner) logCongestion() {
--- a/owner/session.go
+++ b/owner/session.go
@@ -48,11 +48,14 @@
 }
 
 // holdInterval returns the minimum time between the starts of two holds of a VM. It
-// is minHoldInterval plus holdIntervalPerVM for each VM, and longer during congestion.
+// is minHoldInterval plus holdIntervalPerVM for each VM, less with carriers, and longer during
+// congestion.
 func (o *Owner) holdInterval() time.Duration {
+	cost := o.callCost()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.congestion.Interval(minHoldInterval + time.Duration(len(o.sessions))*holdIntervalPerVM)
+	perVM := time.Duration(cost * float64(holdIntervalPerVM))
+	return o.congestion.Interval(minHoldInterval + time.Duration(len(o.sessions))*perVM)
 }
 
 // urgentHoldLoop sends a hold whenever one is requested through s.urgent. It does not
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"almondcove/carrier"
 	"almondcove/job"
 	"almondcove/owner"
 	"almondcove/peer/wire"
@@ -75,6 +76,8 @@
 	// Store returns the store to which this entry makes the calls that others relay
 	// through it. That store must not relay them again.
 	Store() store.Store
+	// VMs makes the calls to VMs that this entry carries for the owner.
+	VMs() carrier.VMs
 }
 
 // JobCallError reports a call to another entry by [JobLinks] or [Relay] that failed.
