Have a VM answer a lost hold at once when it is sent again

A hold whose reply is lost with its carrier is sent directly. The VM was asked to wait for an end as long as in the first attempt, so that the second could time out too and the VM count as silent. It now answers at once. The VMs of the carriers' tests wait as they are asked to; TestFrozenCarrier expects an answer within a second.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -52,7 +52,13 @@
 }
 
 func (v *fakeVMs) Hold(ctx context.Context, vm schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
-	return schedule.Report{Clock: h.Until}, v.call(ctx, "hold", vm)
+	result := v.call(ctx, "hold", vm)
+	select {
+	case <-time.After(h.Wait):
+		return schedule.Report{Clock: h.Until}, result
+	case <-ctx.Done():
+		return schedule.Report{}, schedule.Unanswered
+	}
 }
 
 func (v *fakeVMs) Start(ctx context.Context, vm schedule.VM, _ schedule.Start) schedule.Result {
--- a/carrier/sessions.go
+++ b/carrier/sessions.go
@@ -213,8 +213,8 @@
 }
 
 // send makes a call. What a carrier certainly didn't get is sent directly. So is a hold whose
-// reply is lost, because a VM may get a hold twice. Any other call whose reply is lost counts
-// as unanswered, since the VM may have carried it out.
+// reply is lost, because a VM may get a hold twice; the VM then answers it at once. Any other
+// call whose reply is lost counts as unanswered, since the VM may have carried it out.
 func (s *Sessions) send(ctx context.Context, vm schedule.VM, o Order) (schedule.Report, schedule.Result) {
 	l := s.way(vm)
 	if l == nil {
@@ -223,7 +223,7 @@
 		return report, result
 	}
 	out := l.call(ctx, Call{VM: vm.ID, Address: vm.Address, Timeout: remaining(ctx), Order: o})
-	_, isHold := o.(Hold)
+	hold, isHold := o.(Hold)
 	switch {
 	case out.state == answered:
 		first := s.observe(vm, out.reply.Result)
@@ -235,6 +235,10 @@
 		s.observe(vm, schedule.Unanswered)
 		return schedule.Report{}, schedule.Unanswered
 	}
+	if isHold {
+		hold.Wait = 0
+		o = hold
+	}
 	return execute(ctx, s.config.Direct, vm, o)
 }
 
