Make the surge of a test larger than one processor carries by a margin

The test of a surge failed without carriers by 8 of 80 jobs. With 110 jobs it fails by 17 to 26 in five runs, and passes in five with carriers.

--- a/jobs/carrier_test.go
+++ b/jobs/carrier_test.go
@@ -38,7 +38,7 @@
 // of one entry makes all calls to VMs, while other entries are idle.
 func TestSurgeBeyondOneProcessor(t *testing.T) {
 	const (
-		vms, entries, surge = 300, 5, 80
+		vms, entries, surge = 300, 5, 110
 		callTime            = 2500 * time.Microsecond
 		// objective is that of the queue: 1.6 times the two tasks of 700 ms after each other,
 		// and a second.
