End the gate of a VM once its machine runs another one

An owner that ends without notice loses the last moves of machines that it has not recorded.

The record of a VM now names its machine, so that the list of machines tells the new owner that the machine runs another VM. Then nothing that was started on the VM is left, as the owner already concludes for runs of its own; the gate ends, and the VM is removed with the others that are not listed. A silent VM with a gate is a reason to read the list. TestGateOfReplacedVM fails on the code before.

--- a/schedule/crash.go
+++ b/schedule/crash.go
@@ -381,11 +381,12 @@
 }
 
 // needsMachineOfVM reports whether the list of machines may show that a VM with runs has
-// crashed, or on which machine it runs.
+// crashed, or on which machine it runs, or that a silent VM with a gate is no more.
 func (c *Core) needsMachineOfVM() bool {
 	for _, v := range c.vms {
 		unknown := v.lastMachine == "" && v.attached && len(c.machines) > 0
-		if len(v.runs) > 0 && (unknown || v.silent && !v.terminated) {
+		gone := v.silent && !v.terminated
+		if len(v.runs) > 0 && (unknown || gone) || gone && c.gates[v.ID] != nil {
 			return true
 		}
 	}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -36,6 +36,8 @@
 // Place is the record of one VM that may run tasks.
 type Place struct {
 	VM
+	// Machine is the machine on which the VM was last listed; empty if it is not known.
+	Machine string `json:"machine,omitempty"`
 	// Exact is set if the VM can run nothing but Held. That holds for a VM that does not
 	// answer, because it gets no new runs and no lease renewal, and for every VM during a
 	// handover, unless the VM has not reported to this owner yet.
@@ -136,7 +138,7 @@
 // that the record lists as exact, so that the next owner can rely on Left.
 func (c *Core) place(v *vm, now time.Time) Place {
 	// The runs of a VM with a gate are not known.
-	out := Place{VM: v.VM, Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
+	out := Place{VM: v.VM, Machine: v.lastMachine, Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
 	if !out.Exact {
 		return out
 	}
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -42,6 +43,7 @@
 		if v == nil {
 			v = c.addVM(place.VM)
 		}
+		v.lastMachine = cmp.Or(v.lastMachine, place.Machine)
 		if !place.Exact {
 			c.gates[place.ID] = &gate{pool: place.Pool, until: until}
 			continue
--- a/schedule/machine.go
+++ b/schedule/machine.go
@@ -37,13 +37,16 @@
 // endVMWithoutMachine ends the runs on a VM that its machine no longer runs. While the
 // machine runs no VM, the VM may come back under the same id and still carry out start
 // orders without an answer, so the runs of these orders are kept. Once the machine runs
-// another VM, they end too.
+// another VM, they end too, and nothing that a previous owner has started there is left.
 func (c *Core) endVMWithoutMachine(v *vm, m Machine, now time.Time) {
 	if !v.terminated {
 		c.config.Log.Info("VM ended because its machine no longer runs it", "vm", v.ID, "machine", m.Name, "state", m.State, "runs", len(v.runs), "next", m.VM)
 		c.placeChanged(v.ID)
 	}
 	v.terminated = true
+	if m.VM != "" {
+		delete(c.gates, v.ID)
+	}
 	if m.State != Moving && m.State != InMaintenance && !c.isReserved(m.Name) {
 		c.recordCrash(v, now)
 	}
--- a/schedule/machine_test.go
+++ b/schedule/machine_test.go
@@ -7,6 +7,7 @@
 	"github.com/onsi/gomega"
 
 	"almondcove/schedule"
+	"almondcove/standin"
 )
 
 // TestMachineOrdersAcrossOwners guards against orders of two owners for one machine that
@@ -97,3 +98,32 @@
 	h.listVMs()
 	g.Expect(known()).To(gomega.BeTrue(), "a later process")
 }
+
+// TestGateOfReplacedVM guards against tasks that wait until the leases of a VM have expired,
+// although its machine has been moved and runs another VM: the owner that moved it has ended
+// before it could record that.
+func TestGateOfReplacedVM(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.maintain("vm-0", 1)
+	h.view.Waves = nil
+	h.core.SetView(h.view, h.now)
+	h.run(time.Second)
+	h.vms["vm-0"].SetFault(standin.WorkerDropsOrders)
+	h.gone["vm-0"] = true
+	h.submit(batch("1", 1))
+	h.changeOwner()
+	h.run(500 * time.Millisecond)
+	g.Expect(h.core.Backlog(h.now).Gates).To(gomega.Equal(1))
+	g.Expect(h.starts).To(gomega.BeEmpty(), "vm-0 may run the task")
+	g.Expect(h.core.NeedsMachineList()).To(gomega.BeTrue())
+	for i := range h.machines {
+		if h.machines[i].VM == "vm-0" {
+			h.machines[i].VM = "vm-2"
+		}
+	}
+	h.core.SetMachines(h.machines, h.now)
+	h.run(500 * time.Millisecond)
+	g.Expect(h.core.Backlog(h.now).Gates).To(gomega.BeZero())
+	g.Expect(h.starts).To(gomega.HaveLen(1))
+}
