--- a/jobs/carrier_test.go
+++ b/jobs/carrier_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,21 +17,7 @@
 const alwaysCarried = -1
 
 // TestFaultsWithCarriers is [TestFaults] with entries that carry the owner's calls to VMs.
-func TestFaultsWithCarriers(t *testing.T) {
-	const seeds, seedsPerSubtest = 24, 8
-	all := faults()
-	for first := uint64(0); first < seeds; first += seedsPerSubtest {
-		t.Run(fmt.Sprintf("seeds from %d", first), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				for seed := first; seed < first+seedsPerSubtest; seed++ {
-					r := rand.New(rand.NewPCG(seed, 2))
-					faultA, faultB := all[int(seed)%len(all)], all[r.IntN(len(all))]
-					runFaults(t, r, alwaysCarried, faultA, faultB, fmt.Sprintf("seed %d, %s, %s", seed, faultA.name, faultB.name))
-				}
-			})
-		})
-	}
-}
+func TestFaultsWithCarriers(t *testing.T) { testFaults(t, 2, alwaysCarried) }
 
 // TestSurgeBeyondOneProcessor guards against a surge that is served late because the processor
 // of one entry makes all calls to VMs, while other entries are idle.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -422,16 +422,20 @@
 // what callers and VMs see: accepted jobs are completed, refused jobs do not run,
 // and nothing runs twice. Each subtest runs several seeds one after another in one
 // synctest bubble.
-func TestFaults(t *testing.T) {
+func TestFaults(t *testing.T) { testFaults(t, 1, 0) }
+
+// testFaults is [TestFaults] for one stream of random numbers and one size of the fleet above
+// which calls are carried.
+func testFaults(t *testing.T, stream uint64, maxDirectVMs int) {
 	const seeds, seedsPerSubtest = 24, 8
 	all := faults()
 	for first := uint64(0); first < seeds; first += seedsPerSubtest {
 		t.Run(fmt.Sprintf("seeds from %d", first), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				for seed := first; seed < first+seedsPerSubtest; seed++ {
-					r := rand.New(rand.NewPCG(seed, 1))
+					r := rand.New(rand.NewPCG(seed, stream))
 					faultA, faultB := all[int(seed)%len(all)], all[r.IntN(len(all))]
-					runFaults(t, r, 0, faultA, faultB, fmt.Sprintf("seed %d, %s, %s", seed, faultA.name, faultB.name))
+					runFaults(t, r, maxDirectVMs, faultA, faultB, fmt.Sprintf("seed %d, %s, %s", seed, faultA.name, faultB.name))
 				}
 			})
 		})
