Read on after a response to a request whose body is not wanted

A caller who sent a body over the limit got no answer instead of 413, since the connection was closed while the caller still sent: closing it with unread data resets it, and the reset may destroy the response. net/http reads at most 256 KiB before the response and waits for half a second without reading. For longer bodies the server now sends the response and reads on, for at most 5 s and 64 MiB.

TestResponseBeforeBodyIsRead fails on the code before, each time.

--- a/caller/server.go
+++ b/caller/server.go
@@ -62,7 +62,7 @@
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			s.inProgress.Add(1)
 			defer s.inProgress.Add(-1)
-			c.Handler.ServeHTTP(&responseWriter{ResponseWriter: w, server: s}, r)
+			serveWithLinger(c.Handler, &responseWriter{ResponseWriter: w, server: s}, r)
 		}),
 	}
 	return s
