--- a/owner/owner.go
+++ b/owner/owner.go
@@ -47,8 +47,8 @@
 	// processor handles all reports.
 	minHoldInterval   = 50 * time.Millisecond
 	holdIntervalPerVM = 400 * time.Microsecond
-	// carriedCallCost is the processor time of a call that a carrier makes, as a fraction of
-	// that of a call that this entry makes itself.
+	// carriedCallCost is the least that a call counts, as a fraction of one that this entry
+	// makes itself, however many carriers there are.
 	carriedCallCost = 0.2
 	// holdRetryDelay is the pause after a failed hold.
 	holdRetryDelay = 100 * time.Millisecond
