--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -12,11 +12,11 @@
 //
 // # Usage
 //
-// At the owner, [Sessions] takes the place of direct calls:
+// At the owner, a [Client] takes the place of direct calls:
 //
-//	s := carrier.New(carrier.Config{Direct: vms, Dial: dial, Log: log})
-//	s.SetEntries(carrier.Choose(entries, vmsByCentre, 400))
-//	report, result := s.Hold(ctx, vm, hold)
+//	c := carrier.New(carrier.Config{Direct: vms, Dial: dial, Log: log})
+//	c.SetEntries(carrier.Choose(entries, vmsByCentre, 400))
+//	report, result := c.Hold(ctx, vm, hold)
 //
 // At the other entries, [Serve] makes the calls:
 //
--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -156,15 +156,15 @@
 	}
 }
 
-// fixture is an owner's sessions with carriers.
+// fixture is an owner's client with carriers.
 type fixture struct {
-	sessions *carrier.Sessions
+	client   *carrier.Client
 	direct   *fakeVMs
 	carriers map[netip.AddrPort]*fakeCarrier
 	entries  []carrier.Entry
 }
 
-// newFixture returns sessions with that many carriers in the centre "east", which are up.
+// newFixture returns a client with that many carriers in the centre "east", whose links are up.
 func newFixture(t *testing.T, carriers int) *fixture {
 	f := &fixture{direct: &fakeVMs{}, carriers: make(map[netip.AddrPort]*fakeCarrier)}
 	for i := range carriers {
@@ -175,12 +175,12 @@
 		f.entries = append(f.entries, e)
 		f.carriers[e.Address] = &fakeCarrier{vms: &fakeVMs{}}
 	}
-	f.sessions = carrier.New(carrier.Config{
+	f.client = carrier.New(carrier.Config{
 		Direct: f.direct, Log: hclog.NewNullLogger(),
 		Dial: func(ctx context.Context, to netip.AddrPort) (carrier.Stream, error) { return f.carriers[to].open(ctx) },
 	})
-	t.Cleanup(f.sessions.Close)
-	f.sessions.SetEntries(f.entries)
+	t.Cleanup(f.client.Close)
+	f.client.SetEntries(f.entries)
 	time.Sleep(100 * time.Millisecond)
 	return f
 }
@@ -188,14 +188,14 @@
 func (f *fixture) hold(vm string) schedule.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
-	_, result := f.sessions.Hold(ctx, schedule.VM{ID: vm, Centre: "east"}, schedule.Hold{VM: vm, Wait: time.Second})
+	_, result := f.client.Hold(ctx, schedule.VM{ID: vm, Centre: "east"}, schedule.Hold{VM: vm, Wait: time.Second})
 	return result
 }
 
 func (f *fixture) start(vm string) schedule.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
-	return f.sessions.Start(ctx, schedule.VM{ID: vm, Centre: "east"}, schedule.Start{VM: vm})
+	return f.client.Start(ctx, schedule.VM{ID: vm, Centre: "east"}, schedule.Start{VM: vm})
 }
 
 // carried returns the number of calls that carriers have made.
@@ -213,7 +213,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		f := newFixture(t, 2)
-		g.Expect(f.sessions.Links()).To(gomega.Equal(2))
+		g.Expect(f.client.Links()).To(gomega.Equal(2))
 		var calls sync.WaitGroup
 		for i := range 200 {
 			calls.Go(func() { g.Expect(f.start(fmt.Sprint("vm-", i))).To(gomega.Equal(schedule.Accepted)) })
@@ -225,7 +225,7 @@
 			g.Expect(c.batches).To(gomega.BeNumerically("<=", 2))
 		}
 		ctx := context.Background()
-		g.Expect(f.sessions.Start(ctx, schedule.VM{ID: "w", Centre: "west"}, schedule.Start{})).To(gomega.Equal(schedule.Accepted))
+		g.Expect(f.client.Start(ctx, schedule.VM{ID: "w", Centre: "west"}, schedule.Start{})).To(gomega.Equal(schedule.Accepted))
 		g.Expect(f.direct.count()).To(gomega.Equal(1))
 	})
 }
@@ -243,12 +243,12 @@
 		g.Expect(f.hold("vm")).To(gomega.Equal(schedule.Accepted), "the lost hold is sent directly")
 		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", time.Second))
 		g.Expect(f.direct.count()).To(gomega.Equal(1))
-		g.Expect(f.sessions.Links()).To(gomega.BeZero())
+		g.Expect(f.client.Links()).To(gomega.BeZero())
 		g.Expect(f.start("vm")).To(gomega.Equal(schedule.Accepted))
 		g.Expect(f.direct.count()).To(gomega.Equal(2))
 		c.freeze(false)
 		time.Sleep(3 * time.Second)
-		g.Expect(f.sessions.Links()).To(gomega.Equal(1), "the carrier is used again")
+		g.Expect(f.client.Links()).To(gomega.Equal(1), "the carrier is used again")
 	})
 }
 
@@ -264,7 +264,7 @@
 		go func() { result <- f.start("vm") }()
 		time.Sleep(100 * time.Millisecond)
 		g.Expect(c.vms.count()).To(gomega.Equal(1))
-		f.sessions.SetEntries(nil)
+		f.client.SetEntries(nil)
 		g.Expect(<-result).To(gomega.Equal(schedule.Unanswered))
 		g.Expect(f.direct.count()).To(gomega.BeZero())
 	})
@@ -348,14 +348,14 @@
 		g := gomega.NewWithT(t)
 		f := newFixture(t, 3)
 		f.entries[0].Power = 200
-		f.sessions.SetEntries(f.entries)
+		f.client.SetEntries(f.entries)
 		time.Sleep(time.Second)
 		const vms = 2000
 		carriers := func() map[string]string {
 			out := make(map[string]string)
 			for i := range vms {
 				id := fmt.Sprint("vm-", i)
-				out[id] = f.sessions.Carrier(schedule.VM{ID: id, Centre: "east"})
+				out[id] = f.client.Carrier(schedule.VM{ID: id, Centre: "east"})
 			}
 			return out
 		}
@@ -365,7 +365,7 @@
 		}
 		g.Expect(shares["entry-0"]).To(gomega.BeNumerically("~", vms/9, vms/30))
 		g.Expect(shares["entry-1"]).To(gomega.BeNumerically("~", vms*4/9, vms/20))
-		f.sessions.SetEntries(f.entries[:2])
+		f.client.SetEntries(f.entries[:2])
 		for id, name := range carriers() {
 			if before[id] != "entry-2" {
 				g.Expect(name).To(gomega.Equal(before[id]), id)
--- a/carrier/sessions.go
+++ b/carrier/client.go
@@ -23,7 +23,7 @@
 // DialFunc opens a stream to the carrier at an address. The stream ends with ctx.
 type DialFunc func(ctx context.Context, to netip.AddrPort) (Stream, error)
 
-// Config configures sessions.
+// Config configures a client.
 type Config struct {
 	// Direct makes the calls that no carrier makes.
 	Direct VMs
@@ -31,9 +31,9 @@
 	Log    hclog.Logger
 }
 
-// Sessions makes the calls of an owner to its VMs, through carriers where there are any. Its
+// Client makes the calls of an owner to its VMs, through carriers where there are any. Its
 // methods may be called from any goroutine.
-type Sessions struct {
+type Client struct {
 	config Config
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -55,75 +55,75 @@
 	stop context.CancelFunc
 }
 
-var _ VMs = (*Sessions)(nil)
+var _ VMs = (*Client)(nil)
 
-// New returns sessions without carriers, which call all VMs directly.
-func New(c Config) *Sessions {
+// New returns a client without carriers, which calls all VMs directly.
+func New(c Config) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Sessions{
+	return &Client{
 		config: c, ctx: ctx, cancel: cancel,
 		links: make(map[Entry]*carrierLink), byCentre: make(map[string][]*link), detours: make(map[string]int),
 	}
 }
 
 // Close closes the links to all carriers. Later calls are made directly.
-func (s *Sessions) Close() {
-	s.SetEntries(nil)
-	s.cancel()
-	s.done.Wait()
+func (c *Client) Close() {
+	c.SetEntries(nil)
+	c.cancel()
+	c.done.Wait()
 }
 
 // SetEntries sets the entries that carry the calls. It keeps the links to those that did
 // before, and closes those to all others.
-func (s *Sessions) SetEntries(entries []Entry) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for e, l := range s.links {
+func (c *Client) SetEntries(entries []Entry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for e, l := range c.links {
 		if !slices.Contains(entries, e) {
-			s.config.Log.Info("carrier removed", "entry", e.Name, "run", e.Run, "centre", e.Centre)
+			c.config.Log.Info("carrier removed", "entry", e.Name, "run", e.Run, "centre", e.Centre)
 			l.stop()
-			delete(s.links, e)
+			delete(c.links, e)
 		}
 	}
 	for _, e := range entries {
-		if s.links[e] != nil || s.ctx.Err() != nil {
+		if c.links[e] != nil || c.ctx.Err() != nil {
 			continue
 		}
-		s.config.Log.Info("carrier added", "entry", e.Name, "run", e.Run, "centre", e.Centre, "power", e.Power)
-		ctx, stop := context.WithCancel(s.ctx)
+		c.config.Log.Info("carrier added", "entry", e.Name, "run", e.Run, "centre", e.Centre, "power", e.Power)
+		ctx, stop := context.WithCancel(c.ctx)
 		l := &link{
-			entry: e, dial: s.config.Dial, log: s.config.Log, changed: s.updateLinks,
+			entry: e, dial: c.config.Dial, log: c.config.Log, changed: c.updateLinks,
 			queued: make(chan struct{}, 1), calls: make(map[uint64]*pendingCall),
 		}
-		s.links[e] = &carrierLink{l, stop}
-		s.done.Go(func() { l.run(ctx) })
+		c.links[e] = &carrierLink{l, stop}
+		c.done.Go(func() { l.run(ctx) })
 	}
-	s.updateLinksLocked()
+	c.updateLinksLocked()
 }
 
 // updateLinks finds out anew which links are up.
-func (s *Sessions) updateLinks() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.updateLinksLocked()
+func (c *Client) updateLinks() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.updateLinksLocked()
 }
 
-func (s *Sessions) updateLinksLocked() {
-	clear(s.byCentre)
-	clear(s.detours)
-	for e, l := range s.links {
+func (c *Client) updateLinksLocked() {
+	clear(c.byCentre)
+	clear(c.detours)
+	for e, l := range c.links {
 		if l.isUp() {
-			s.byCentre[e.Centre] = append(s.byCentre[e.Centre], l.link)
+			c.byCentre[e.Centre] = append(c.byCentre[e.Centre], l.link)
 		}
 	}
 }
 
 // Links returns the number of carriers in use.
-func (s *Sessions) Links() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *Client) Links() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	n := 0
-	for _, links := range s.byCentre {
+	for _, links := range c.byCentre {
 		n += len(links)
 	}
 	return n
@@ -131,8 +131,8 @@
 
 // Carrier returns the name of the entry that carries the calls to a VM; empty means that the
 // VM is called directly.
-func (s *Sessions) Carrier(vm schedule.VM) string {
-	if l := s.way(vm); l != nil {
+func (c *Client) Carrier(vm schedule.VM) string {
+	if l := c.way(vm); l != nil {
 		return l.entry.Name
 	}
 	return ""
@@ -140,14 +140,14 @@
 
 // way returns the link for the next call to a VM; nil means a direct call. The ways of a VM
 // are the carriers of its data centre in the order of their scores, and a direct call at last.
-func (s *Sessions) way(vm schedule.VM) *link {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	links := s.byCentre[vm.Centre]
+func (c *Client) way(vm schedule.VM) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	links := c.byCentre[vm.Centre]
 	if len(links) == 0 {
 		return nil
 	}
-	skip := s.detours[vm.ID] % (len(links) + 1)
+	skip := c.detours[vm.ID] % (len(links) + 1)
 	if skip == len(links) {
 		return nil
 	}
@@ -173,73 +173,73 @@
 // observe notes the result of a call to a VM. After a call that did not reach the VM or got
 // no answer, the next call takes another way. It reports whether this is the first such call
 // since the ways have changed.
-func (s *Sessions) observe(vm schedule.VM, r schedule.Result) (first bool) {
+func (c *Client) observe(vm schedule.VM, r schedule.Result) (first bool) {
 	if r != schedule.Unsent && r != schedule.Unanswered {
 		return false
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.byCentre[vm.Centre]) == 0 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.byCentre[vm.Centre]) == 0 {
 		return false
 	}
-	if len(s.detours) >= maxDetours {
-		clear(s.detours)
+	if len(c.detours) >= maxDetours {
+		clear(c.detours)
 	}
-	s.detours[vm.ID]++
-	return s.detours[vm.ID] == 1
+	c.detours[vm.ID]++
+	return c.detours[vm.ID] == 1
 }
 
 // Hold implements [VMs].
-func (s *Sessions) Hold(ctx context.Context, vm schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
-	return s.send(ctx, vm, Hold{h})
+func (c *Client) Hold(ctx context.Context, vm schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
+	return c.send(ctx, vm, Hold{h})
 }
 
 // Start implements [VMs].
-func (s *Sessions) Start(ctx context.Context, vm schedule.VM, o schedule.Start) schedule.Result {
-	_, result := s.send(ctx, vm, Start{o})
+func (c *Client) Start(ctx context.Context, vm schedule.VM, o schedule.Start) schedule.Result {
+	_, result := c.send(ctx, vm, Start{o})
 	return result
 }
 
 // Stop implements [VMs].
-func (s *Sessions) Stop(ctx context.Context, vm schedule.VM, o schedule.Stop) schedule.Result {
-	_, result := s.send(ctx, vm, Stop{o})
+func (c *Client) Stop(ctx context.Context, vm schedule.VM, o schedule.Stop) schedule.Result {
+	_, result := c.send(ctx, vm, Stop{o})
 	return result
 }
 
 // Pace implements [VMs].
-func (s *Sessions) Pace(ctx context.Context, vm schedule.VM, o schedule.Pace) schedule.Result {
-	_, result := s.send(ctx, vm, Pace{o})
+func (c *Client) Pace(ctx context.Context, vm schedule.VM, o schedule.Pace) schedule.Result {
+	_, result := c.send(ctx, vm, Pace{o})
 	return result
 }
 
 // send makes a call. What a carrier certainly didn't get is sent directly. So is a hold whose
 // reply is lost, because a VM may get a hold twice; the VM then answers it at once. Any other
 // call whose reply is lost counts as unanswered, since the VM may have carried it out.
-func (s *Sessions) send(ctx context.Context, vm schedule.VM, o Order) (schedule.Report, schedule.Result) {
-	l := s.way(vm)
+func (c *Client) send(ctx context.Context, vm schedule.VM, o Order) (schedule.Report, schedule.Result) {
+	l := c.way(vm)
 	if l == nil {
-		report, result := execute(ctx, s.config.Direct, vm, o)
-		s.observe(vm, result)
+		report, result := execute(ctx, c.config.Direct, vm, o)
+		c.observe(vm, result)
 		return report, result
 	}
 	out := l.call(ctx, Call{VM: vm.ID, Address: vm.Address, Timeout: remaining(ctx), Order: o})
 	hold, isHold := o.(Hold)
 	switch {
 	case out.state == answered:
-		first := s.observe(vm, out.reply.Result)
+		first := c.observe(vm, out.reply.Result)
 		if !first || !isHold || out.reply.Result != schedule.Unsent {
 			return out.reply.Report, out.reply.Result
 		}
 		// A carrier that can't reach a VM doesn't show that nothing listens there.
 	case ctx.Err() != nil, out.state == lost && !isHold:
-		s.observe(vm, schedule.Unanswered)
+		c.observe(vm, schedule.Unanswered)
 		return schedule.Report{}, schedule.Unanswered
 	}
 	if isHold {
 		hold.Wait = 0
 		o = hold
 	}
-	return execute(ctx, s.config.Direct, vm, o)
+	return execute(ctx, c.config.Direct, vm, o)
 }
 
 // remaining returns how long a carrier may wait for a VM's answer.
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -130,7 +130,7 @@
 	relay           *peer.Relay
 	shard           *shard.Shard
 	owner           *owner.Owner
-	carriers        *carrier.Sessions
+	carriers        *carrier.Client
 	operatorRecords *mirror.Mirror
 	vmList          *mirror.Mirror
 	// vmListOutdated is set when the owner has no list of VMs of the present term, so that
