Divide large batches of calls and replies

Found in review: gRPC refuses messages above 4 MB. A plan that starts tasks of jobs with large descriptions, or the reports of many VMs with ends that can't be recorded during an outage of the store, could exceed that in one batch; the stream would fail, and again with each attempt. Batches are divided at about 512 KB now, and streams accept messages of 16 MB, more than any single call takes. TestLargeBatchesAreDivided.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -314,6 +314,29 @@
 	})
 }
 
+// TestLargeBatchesAreDivided guards against a batch that exceeds what a stream accepts, so that
+// the stream fails again and again.
+func TestLargeBatchesAreDivided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		f := newFixture(t, 1)
+		var calls sync.WaitGroup
+		spec := string(make([]byte, 200<<10))
+		for i := range 20 {
+			calls.Go(func() {
+				vm := schedule.VM{ID: fmt.Sprint("vm-", i), Centre: "east"}
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				g.Expect(f.client.Start(ctx, vm, schedule.Start{VM: vm.ID, Spec: spec})).To(gomega.Equal(schedule.Accepted))
+			})
+		}
+		calls.Wait()
+		c := f.carriers[f.entries[0].Address]
+		g.Expect(c.vms.count()).To(gomega.Equal(20))
+		g.Expect(c.batches).To(gomega.Equal(10), "batches of two")
+	})
+}
+
 // TestChoose checks how many entries of each data centre are chosen, and that they are the
 // most powerful ones.
 func TestChoose(t *testing.T) {
--- a/carrier/link.go
+++ b/carrier/link.go
@@ -169,7 +169,7 @@
 		if !delay.Sleep(ctx, batchDelay) {
 			return context.Cause(ctx)
 		}
-		if batch := l.takeQueue(); len(batch) > 0 {
+		for _, batch := range divide(l.takeQueue(), Call.size) {
 			if err := s.Send(batch); err != nil {
 				return err
 			}
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -90,18 +90,29 @@
 	}
 }
 
+// takeReplies returns the queued replies.
+func (s *server) takeReplies() []Reply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.replies
+	s.replies = nil
+	return out
+}
+
 // send sends the queued replies in batches, or an empty batch while there are none, until the
 // stream fails. The first one tells the owner that the carrier is there.
 func (s *server) send(ctx context.Context, stream ServerStream) error {
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
-		s.mu.Lock()
-		batch := s.replies
-		s.replies = nil
-		s.mu.Unlock()
-		if err := stream.Send(batch); err != nil {
-			return err
+		batches := divide(s.takeReplies(), Reply.size)
+		if len(batches) == 0 {
+			batches = append(batches, nil)
+		}
+		for _, batch := range batches {
+			if err := stream.Send(batch); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -317,10 +317,10 @@
 }
 
 func (n *Node) servePeers(listener net.Listener) {
-	n.server = grpc.NewServer(
+	n.server = grpc.NewServer(append(peer.ServerOptions(),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
-	)
+	)...)
 	peer.RegisterJobs(n.server, &jobHost{n})
 	n.wg.Go(func() {
 		if err := n.server.Serve(listener); err != nil {
