--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -21,9 +21,9 @@
 			config: clusterConfig{entries: 3, vms: twoVMs(), workOf: lasting(time.Second)},
 			play:   playPhantom,
 		},
-		"service": {
-			config: clusterConfig{entries: 3, vms: eightVMs(), workOf: lasting(0)},
-			play:   playService,
+		"crashes": {
+			config: clusterConfig{entries: 3, vms: eightVMs(), workOf: crashesWork},
+			play:   playCrashes,
 		},
 	}
 }
