Continue an owner's state only in place of its own term

An owner froze and another one was elected; later the first was elected again, and the answer to that election was lost.

Cause: the shard called an election a reelection if the stored tail named this process. The next attempt found the tail of its own lost election and said so too, although that one had replaced another owner. The owner then went on with the state of its first term and wrote it over the newer records.

A term now carries the tail that its election has replaced, and the owner compares it with that of the term its state belongs to. Only if both are the same, by process and epoch, does it go on; otherwise it reads the records. An election also ends the term before it if that has not been reported yet, so that nothing acts on a core that is gone.

The log line "state in memory is that of the records" tells a continued term from one whose records are read.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -59,6 +60,8 @@
 	Count int64 `json:"count"`
 }
 
+func (t Tail) String() string { return fmt.Sprintf("%s/%d/%d", t.Run, t.Epoch, t.Count) }
+
 // StoredTail is a tail with the store revision at which it was written.
 type StoredTail struct {
 	Tail
--- a/owner/capacity_test.go
+++ b/owner/capacity_test.go
@@ -51,17 +51,16 @@
 	g := gomega.NewWithT(t)
 	item, err := k.Get(t.Context(), ledger.TailKey("t/"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	tail := ledger.Tail{}
+	replaced := ledger.Tail{}
 	if item.Rev != 0 {
-		g.Expect(json.Unmarshal(item.Value, &tail)).To(gomega.Succeed())
+		g.Expect(json.Unmarshal(item.Value, &replaced)).To(gomega.Succeed())
 	}
-	reelected := tail.Run == "a"
-	tail.Run, tail.Epoch = "a", epoch
+	tail := ledger.Tail{Run: "a", Epoch: epoch, Count: replaced.Count}
 	value, err := json.Marshal(tail)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	rev, err := k.Commit(t.Context(), store.Txn{Puts: []store.Put{{Key: ledger.TailKey("t/"), Value: value}}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	o.Elected(shard.Term{Epoch: epoch, Reelected: reelected, Tail: ledger.StoredTail{Tail: tail, Rev: rev}})
+	o.Elected(shard.Term{Epoch: epoch, Replaced: replaced, Tail: ledger.StoredTail{Tail: tail, Rev: rev}})
 	time.Sleep(time.Second)
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -133,6 +133,8 @@
 	core *schedule.Core
 	// active is set while this entry owns the jobs and has read the records.
 	active bool
+	// tail is the tail of the records that core holds.
+	tail ledger.Tail
 	// term is that of the last election won. The result of a recovery for an earlier
 	// term is dropped.
 	term shard.Term
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -138,11 +138,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		o := startOwner(t, standin.NewKeyValue())
-		o.Elected(shard.Term{Epoch: 3, Reelected: true})
+		o.Elected(shard.Term{Epoch: 3, Replaced: ledger.Tail{Run: "a", Epoch: 1}})
 		o.Deposed(1)
 		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NoJob), "the later term goes on")
 		o.Deposed(4)
-		o.Elected(shard.Term{Epoch: 4, Reelected: true})
+		o.Elected(shard.Term{Epoch: 4, Replaced: ledger.Tail{Run: "a", Epoch: 3}})
 		time.Sleep(time.Second)
 		g.Expect(o.Show("1", owner.Scope{}).Outcome).To(gomega.Equal(owner.NotOwner), "the term has ended before it began")
 	})
--- a/owner/term.go
+++ b/owner/term.go
@@ -11,28 +11,20 @@
 	"almondcove/store"
 )
 
-// Elected begins a new term. After a reelection the owner continues with its state
-// in memory. Otherwise it first reads the records, in the background. A term that
-// [Owner.Deposed] has already ended does not begin.
+// Elected begins a new term. If no other process has owned the jobs since this one did, the
+// owner continues with its state in memory. Otherwise it first reads the records, in the
+// background. A term that [Owner.Deposed] has already ended does not begin.
 func (o *Owner) Elected(t shard.Term) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if t.Epoch <= o.endedEpoch {
 		return
 	}
+	o.endTerm()
 	o.term = t
-	o.stopReading()
 	o.config.Ledger.SetTail(t.Tail)
-	if t.Reelected && o.core != nil {
-		o.core.SetEpoch(t.Epoch)
-		o.listAwaited = !o.listed
-		if o.listed {
-			o.core.SetVMs(o.vms, time.Now())
-		}
-		o.active = true
-		o.keepSessions()
-		wake(o.planWake)
-		wake(o.commitWake)
+	if o.holdsRecordsOf(t.Replaced) {
+		o.continueCore(t)
 		return
 	}
 	o.core = nil
@@ -45,15 +37,41 @@
 	})
 }
 
+// holdsRecordsOf reports whether the core holds the records as they were under a tail. A tail
+// that names this process is not enough: it may be that of an election whose answer was lost,
+// by which this process replaced another owner. The caller holds o.mu.
+func (o *Owner) holdsRecordsOf(tail ledger.Tail) bool {
+	return o.core != nil && o.tail.Run == tail.Run && o.tail.Epoch == tail.Epoch
+}
+
+// continueCore begins a term with the state in memory. The caller holds o.mu.
+func (o *Owner) continueCore(t shard.Term) {
+	o.tail = t.Tail.Tail
+	o.core.SetEpoch(t.Epoch)
+	o.listAwaited = !o.listed
+	if o.listed {
+		o.core.SetVMs(o.vms, time.Now())
+	}
+	o.active = true
+	o.keepSessions()
+	o.config.Log.Info("state in memory is that of the records", "epoch", t.Epoch, "tail", t.Replaced)
+	wake(o.planWake)
+	wake(o.commitWake)
+}
+
 // Deposed ends the term of an epoch: it stops the owner from acting and refuses the
 // jobs that are not yet part of a commit. It does nothing if a later term has begun.
 func (o *Owner) Deposed(epoch int64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.endedEpoch = max(o.endedEpoch, epoch)
-	if o.term.Epoch > epoch {
-		return
+	if o.term.Epoch <= epoch {
+		o.endTerm()
 	}
+}
+
+// endTerm ends the present term, if that is not over yet. The caller holds o.mu.
+func (o *Owner) endTerm() {
 	defer o.wakeWaiters()
 	o.stopReading()
 	o.active = false
@@ -162,7 +180,7 @@
 		c.LateMachineOrders = machineTimeout
 	}
 	c.Log = o.config.Log
-	o.core = schedule.New(c)
+	o.core, o.tail = schedule.New(c), t.Tail.Tail
 	o.core.SetView(o.view, now)
 	// Jobs were refused until now, while there was no owner.
 	o.core.JobsRefused(now)
--- a/shard/election.go
+++ b/shard/election.go
@@ -120,16 +120,15 @@
 		return nil
 	}
 	term := Term{
-		Epoch:     max(lastTail.Epoch, knownOwner.Epoch) + 1,
-		Reelected: lastTail.Run == s.config.Self.Run,
-
+		Epoch:            max(lastTail.Epoch, knownOwner.Epoch) + 1,
+		Replaced:         lastTail,
 		PredecessorEnded: tailItem.Rev == 0 || lastTail.Run == deadRun || ownedByEarlierProcess(ownerItem, lastTail, s.config.Self),
 	}
 	begun, inDoubt := s.beginElection(term.Epoch)
 	if !begun {
 		return nil
 	}
-	s.logCampaign(term, lastTail)
+	s.logCampaign(term)
 	newTail := ledger.Tail{Run: s.config.Self.Run, Epoch: term.Epoch, Count: lastTail.Count}
 	sent := s.config.Clock()
 	rev, err := s.config.Store.Commit(ctx, s.electionTxn(ownerItem, tailItem, newTail, lease))
@@ -151,7 +150,7 @@
 }
 
 // logCampaign logs why this entry may campaign.
-func (s *Shard) logCampaign(term Term, lastTail ledger.Tail) {
+func (s *Shard) logCampaign(term Term) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Clock()
@@ -159,8 +158,7 @@
 	if s.pledgedUntil > 0 {
 		pledge = (now - s.pledgedUntil).String()
 	}
-	s.config.Log.Info("campaigning", "epoch", term.Epoch, "predecessor", lastTail.Run, "predecessor_left", s.vacatedEpoch >= lastTail.Epoch,
-		"predecessor_ended", term.PredecessorEnded, "registered_for", now-s.registeredAt, "pledge_expired_for", pledge, "members", len(s.members))
+	s.config.Log.Info("campaigning", "epoch", term.Epoch, "predecessor", term.Replaced, "predecessor_left", s.vacatedEpoch >= term.Replaced.Epoch, "predecessor_ended", term.PredecessorEnded, "registered_for", now-s.registeredAt, "pledge_expired_for", pledge, "members", len(s.members))
 }
 
 // beginElection reports whether this entry may still campaign, now that the records
@@ -255,7 +253,7 @@
 	s.setOwner(Owner{Member: s.config.Self, Epoch: term.Epoch}, term.Tail.Rev)
 	s.ownerReadRev = max(s.ownerReadRev, term.Tail.Rev)
 	s.mu.Unlock()
-	s.config.Log.Info("elected as owner", "epoch", term.Epoch, "again", term.Reelected)
+	s.config.Log.Info("elected as owner", "epoch", term.Epoch, "replaced", term.Replaced)
 	s.config.Elected(term)
 	return true
 }
--- a/shard/shard.go
+++ b/shard/shard.go
@@ -86,9 +86,9 @@
 	Epoch int64
 	// Tail is the tail that the election wrote.
 	Tail ledger.StoredTail
-	// Reelected is set if no other process has owned the jobs since this one did,
-	// so that its state in memory is still current.
-	Reelected bool
+	// Replaced is the tail that the election replaced. It tells what the records hold: state
+	// in memory is current only if it was read or written under exactly this tail.
+	Replaced ledger.Tail
 	// PredecessorEnded is set if the process of the previous owner is known to have ended,
 	// or there was none, so that nothing that it had not sent will arrive.
 	PredecessorEnded bool
--- a/shard/shard_test.go
+++ b/shard/shard_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/onsi/gomega"
 
+	"almondcove/ledger"
 	"almondcove/shard"
 	"almondcove/standin"
 	"almondcove/store"
@@ -391,10 +392,10 @@
 }
 
 // TestRestart guards against a restarted owner that waits for its previous lease to
-// expire, or that counts as reelected and therefore would not load the records. A
-// process that finds its own name in the owner key must take over at once, with
-// Reelected unset. Reelected must be set if the same process wins again after its
-// lease has expired.
+// expire, or that takes its predecessor's tail for its own and therefore would not load
+// the records. A process that finds its own name in the owner key must take over at once,
+// and name the tail of the earlier process as the one that it has replaced. It must name
+// its own if it wins again after its lease has expired.
 func TestRestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -409,13 +410,13 @@
 		time.Sleep(500 * time.Millisecond)
 		term := <-terms
 		g.Expect(term.Epoch).To(gomega.Equal(int64(2)))
-		g.Expect(term.Reelected).To(gomega.BeFalse())
+		g.Expect(term.Replaced).To(gomega.Equal(ledger.Tail{Run: "1", Epoch: 1}))
 		g.Expect(term.PredecessorEnded).To(gomega.BeTrue(), "it was an earlier process of this entry")
 		k.ExpireLeases()
 		time.Sleep(2 * time.Second)
 		term = <-terms
 		g.Expect(term.Epoch).To(gomega.Equal(int64(3)))
-		g.Expect(term.Reelected).To(gomega.BeTrue(), "no other process has owned the jobs since")
+		g.Expect(term.Replaced).To(gomega.Equal(ledger.Tail{Run: "2", Epoch: 2}), "no other process has owned the jobs since")
 	})
 }
 
