Read all ends of a VM before taking a missing run for ended

An owner lost power while a VM ran 4,000 small tasks, which ended before the next owner asked the VM.

Cause: a VM lists 500 ends at a time, and the further ones only once it has been told to forget these. The core took the first report for the whole: with running=0 it attached the VM, which opened the gate of its pool, and a known run that was listed nowhere counted as never started. The stand-in VM listed all ends at once, so that no test could show it.

A report now says whether there may be more ends; the carriers pass that on. Until the last ends are read, a run that is listed nowhere is neither settled nor taken for stalled, the VM is not attached, and its gate stays closed for as long as the holds renew the lease. Once the ends are recorded, the VM is asked for the next ones at once instead of after the pause between holds. The stand-in lists 500 ends.

--- a/peer/carry.go
+++ b/peer/carry.go
@@ -158,6 +158,7 @@
 		Ended: lo.Map(r.Report.Ended, func(e schedule.End, _ int) *wire.End {
 			return &wire.End{Number: e.Number, Run: encodeRun(e.Run), Outcome: int32(e.Outcome), Checkpoint: e.Checkpoint}
 		}),
+		MoreEnds: r.Report.MoreEnds,
 	}
 	return out
 }
@@ -181,6 +182,7 @@
 		Ended: lo.Map(report.GetEnded(), func(e *wire.End, _ int) schedule.End {
 			return schedule.End{Number: e.GetNumber(), Run: decodeRun(e.GetRun()), Outcome: decodeOutcome(e.GetOutcome()), Checkpoint: e.GetCheckpoint()}
 		}),
+		MoreEnds: report.GetMoreEnds(),
 	}
 	return out
 }
--- a/peer/carry_test.go
+++ b/peer/carry_test.go
@@ -62,10 +62,13 @@
 		Running: []schedule.Progress{{Run: testRun, Checkpoint: "c", Percent: 40, Load: 12}},
 		Ended:   []schedule.End{{Number: 4, Run: testRun, Outcome: schedule.Alone, Checkpoint: "d"}},
 	}
+	cut := report
+	cut.MoreEnds = true
 	unborn := report
 	unborn.Born = time.Time{}
 	for name, reply := range map[string]carrier.Reply{
 		"report":       {Number: 7, Result: schedule.Accepted, Report: report},
+		"more ends":    {Number: 7, Result: schedule.Accepted, Report: cut},
 		"no birth":     {Number: 7, Result: schedule.Accepted, Report: unborn},
 		"not accepted": {Number: 7, Result: schedule.Refused},
 	} {
--- a/schedule/action.go
+++ b/schedule/action.go
@@ -116,8 +116,12 @@
 	Born time.Time
 	// Running lists the runs on the VM.
 	Running []Progress
-	// Ended lists the ends of runs that the VM has not yet forgotten; see [Hold.Seen].
+	// Ended lists the ends of runs that the VM has not yet forgotten, the oldest first; see
+	// [Hold.Seen].
 	Ended []End
+	// MoreEnds is set if there may be later ends, which the VM lists once it has forgotten
+	// these. A run that such a report lists nowhere may have ended.
+	MoreEnds bool
 }
 
 // Progress is the progress of a run on a VM.
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -35,9 +35,10 @@
 
 // restartStalled restarts the tasks whose only run is on this VM and has stalled. A task
 // that allows copies gets a second run on another VM. For any other task the stalled run
-// is stopped first, and the task is then placed again at a higher cost for this VM.
+// is stopped first, and the task is then placed again at a higher cost for this VM. While the
+// VM has further ends to list, a run without progress may have ended.
 func (c *Core) restartStalled(v *vm, now time.Time) {
-	if v.silent || !v.attached || now.Sub(v.lastAnswer) > stallTimeout {
+	if v.silent || !v.attached || v.moreEnds || now.Sub(v.lastAnswer) > stallTimeout {
 		return
 	}
 	for _, r := range v.sortedRuns() {
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -193,6 +193,10 @@
 		if v.processStart.Equal(last.processStart) {
 			v.lastEndRecorded = max(v.lastEndRecorded, last.number)
 			v.unrecordedEnds = slices.DeleteFunc(v.unrecordedEnds, func(e unrecordedEnd) bool { return e.number <= v.lastEndRecorded })
+			if v.moreEnds {
+				// The VM can list the next ends now.
+				c.requestHold(v)
+			}
 		}
 	}
 	for _, id := range r.Removed {
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -101,7 +101,10 @@
 	lastEndRead, lastEndRecorded int64
 	// unrecordedEnds lists the ends after lastEndRecorded, up to lastEndRead.
 	unrecordedEnds []unrecordedEnd
-	health         health
+	// moreEnds is set while the VM may have ends after lastEndRead. Until they are read, a
+	// run that its reports don't list may have ended.
+	moreEnds bool
+	health   health
 	// noRenewal is set while the recorded fleet may list the VM as exact (see [Place]).
 	// The next owner relies on the remaining lease in that record, so the lease must
 	// not be renewed.
@@ -233,7 +236,7 @@
 	}
 	v.crashRecorded, v.lapsed, v.lapsedOnTrial = false, nil, nil
 	v.processStart = born
-	v.lastEndRead, v.lastEndRecorded, v.unrecordedEnds = 0, 0, nil
+	v.lastEndRead, v.lastEndRecorded, v.unrecordedEnds, v.moreEnds = 0, 0, nil, false
 	v.reportStamp = reportStamp{}
 	v.clockAt = time.Time{}
 	v.needsNewFence = true
@@ -272,7 +275,7 @@
 		v.needsNewFence = false
 		c.serial++
 		v.serial = c.serial
-	} else if !v.needsNewFence && v.attached && !v.silent && v.missedHolds == 0 {
+	} else if !v.needsNewFence && v.attached && !v.silent && !v.moreEnds && v.missedHolds == 0 {
 		h.Wait = v.holdWait()
 	}
 	h.Fence = v.fence(c.epoch)
@@ -398,18 +401,31 @@
 	for _, e := range r.Ended {
 		c.handleEnd(v, e, now)
 	}
-	if v.attached && !v.reportStamp.before(h, r) {
+	if (v.attached || v.moreEnds) && !v.reportStamp.before(h, r) {
 		// A newer report was handled first. The runs in this one may have ended since,
 		// and the VM may have forgotten their ends already.
 		return
 	}
 	v.reportStamp = reportStamp{h.Fence, r.Clock}
+	c.noteMoreEnds(v, r.MoreEnds)
 	c.updateProgress(v, r, now)
 	c.restartStalled(v, now)
 	c.paceFillers(v, now)
-	if h.Fence == v.fence(c.epoch) && !v.needsNewFence {
+	if h.Fence == v.fence(c.epoch) && !v.needsNewFence && !v.moreEnds {
 		c.settleRuns(v, h, r, now)
 	}
+	if g := c.gates[v.ID]; g != nil && v.leaseEnd.After(g.until) {
+		// The hold has renewed the lease of runs that are not known yet.
+		g.until = v.leaseEnd
+	}
+}
+
+// noteMoreEnds records whether the newest report of a VM leaves out ends.
+func (c *Core) noteMoreEnds(v *vm, more bool) {
+	if more && !v.moreEnds {
+		c.config.Log.Info("VM has more ends than it lists", "vm", v.ID, "read", v.lastEndRead, "attached", v.attached, "runs", len(v.runs))
+	}
+	v.moreEnds = more
 }
 
 // reportStamp orders the reports of one process of a VM. Answers on different
@@ -457,7 +473,7 @@
 }
 
 // settleRuns compares the runs that the core knows with a report under the current
-// fencing token. A run that was ordered under a lower token and is not in the report
+// fencing token that leaves out no end. A run that was ordered under a lower token and is not in the report
 // does not run and will never start, so it counts as ended. Runs that the core does
 // not know are adopted or stopped.
 func (c *Core) settleRuns(v *vm, h Hold, report Report, now time.Time) {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -1,8 +1,8 @@
 package standin
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -92,6 +92,9 @@
 // defaultDowntime is how long a crashed worker is down if SetDowntime is not called.
 const defaultDowntime = 3 * time.Second
 
+// maxListedEnds is the number of ends that a worker lists in one report.
+const maxListedEnds = 500
+
 // NewWorker returns a worker that was started at startedAt and belongs to checker.
 func NewWorker(vm schedule.VM, checker *Checker, startedAt time.Time) *Worker {
 	w := &Worker{
@@ -280,11 +283,14 @@
 }
 
 func (w *Worker) sortedRuns() []schedule.Run {
-	out := make([]schedule.Run, 0, len(w.running))
+	byName := make(map[string]schedule.Run, len(w.running))
 	for r := range w.running {
-		out = append(out, r)
+		byName[r.String()] = r
+	}
+	out := make([]schedule.Run, 0, len(byName))
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out = append(out, byName[name])
 	}
-	slices.SortFunc(out, func(a, b schedule.Run) int { return cmp.Compare(fmt.Sprint(a), fmt.Sprint(b)) })
 	return out
 }
 
@@ -298,7 +304,7 @@
 }
 
 // Hold carries out a hold: it renews the lease, discards the ends up to h.Seen and
-// returns a report.
+// returns a report, with the first maxListedEnds of the other ends.
 func (w *Worker) Hold(h schedule.Hold, now time.Time) (schedule.Report, schedule.Result) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -324,7 +330,8 @@
 	if w.fault == WorkerDropsResponses {
 		return schedule.Report{}, schedule.Unanswered
 	}
-	out := schedule.Report{Clock: clock, Born: w.VM.Born, Ended: slices.Clone(w.ended)}
+	listed := w.ended[:min(len(w.ended), maxListedEnds)]
+	out := schedule.Report{Clock: clock, Born: w.VM.Born, Ended: slices.Clone(listed), MoreEnds: len(listed) == maxListedEnds}
 	for _, r := range w.sortedRuns() {
 		p := schedule.Progress{Run: r, Percent: w.running[r].percent(now), Load: w.loadMs}
 		if w.fault == WorkerStalled {
