Settle a commit in doubt by the tail that the next election replaces

The store went down just after it had carried out the commit that recorded the job.

Cause: an owner elected again in place of its own term dropped the jobs of a commit that the end of that term had left in doubt, although the commit may have been carried out. It ended in one of two ways, "term of epoch 1 has ended" or "owned by" this same process, and both dropped the jobs and took the other changes for unrecorded. The job was then in the store but not in memory: this owner answered 410, and the next one found it.

The owner keeps a commit until its outcome is known, and stops acting while it is in doubt. The tail that the next election has replaced settles it, because no transaction of an earlier tail takes effect after that: if it is the tail that the commit leaves, the commit is applied; if it is the one before, it is repeated, and its jobs are known not to be stored; in every other case the records are read again. The count of the tail is compared as well now, so that state in memory goes on only in place of exactly the records that it was built on.

--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -77,6 +77,10 @@
 	// recordsChanged is called with the operators' records of an entry after each change;
 	// nil is allowed.
 	recordsChanged func(i int, items map[string]store.Item)
+	// started is called with each run that a VM was ordered to start; nil is allowed.
+	started func(schedule.Run)
+	// retention is how long the entries that are started next keep ended jobs.
+	retention time.Duration
 
 	net     *standin.Network
 	checker *standin.Checker
@@ -95,7 +99,7 @@
 func newSystem(t *testing.T, entries, vms int) *system {
 	s := &system{
 		t: t, kv: standin.NewKeyValue(), net: &standin.Network{}, checker: standin.NewChecker(),
-		workers: make(map[string]*standin.Worker), calls: make(map[int]int),
+		workers: make(map[string]*standin.Worker), calls: make(map[int]int), retention: time.Minute,
 	}
 	s.store = s.kv
 	s.machines = standin.NewMachines(standin.MachinesConfig{
@@ -173,7 +177,7 @@
 		Self:  shard.Member{Name: name, Run: name + run, Centre: "c", Address: netip.AddrPortFrom(entryAddr(i), 7000), Power: s.entryPower},
 		Store: s.store, Prefix: "own/", OperatorRecordsPrefix: "conf/", VMsPrefix: "vms/", Decoder: decoder{},
 		OperatorRecordsChanged: recordsChanged,
-		Schedule:               schedule.Config{MaxLease: 6 * time.Second, Retention: time.Minute, MaintenanceTime: time.Second, MoveTime: time.Second, MaxStopTime: time.Second},
+		Schedule:               schedule.Config{MaxLease: 6 * time.Second, Retention: s.retention, MaintenanceTime: time.Second, MoveTime: time.Second, MaxStopTime: time.Second},
 		VMs:                    &vmClient{system: s, entry: i, processor: make(chan struct{}, 1)}, MaxDirectVMs: s.maxDirectVMs, Machines: s.machines, Advisor: s,
 		ReportWaves: func(context.Context, store.Store, []schedule.WaveState) error { return nil },
 		Network:     entryNetwork,
@@ -237,6 +241,9 @@
 	if err := json.Unmarshal([]byte(a.Spec), &j); err != nil {
 		c.system.t.Error(err)
 	}
+	if c.system.started != nil {
+		c.system.started(a.Run)
+	}
 	return w.Start(a, j.Steps[a.Run.Task.Step], taskDuration, time.Now())
 }
 
--- a/jobs/succession_test.go
+++ b/jobs/succession_test.go
@@ -12,10 +12,15 @@
 
 	"almondcove/job"
 	"almondcove/owner"
+	"almondcove/schedule"
 	"almondcove/standin"
 	"almondcove/store"
 )
 
+// answerVisible is how long after its acceptance a job may be unknown, and how long after the
+// acknowledgement of its cancelling tasks of it may start.
+const answerVisible = 3 * time.Second
+
 // silentCommits is the way of an entry to the store. The answer to the next transaction that
 // writes the key silenced is lost.
 type silentCommits struct {
@@ -74,3 +79,55 @@
 		}
 	})
 }
+
+// TestCommitInDoubt guards against an owner that denies a job, and so confirms that it is
+// cancelled, although the commit whose answer was lost has recorded the job: the next owner
+// would run it. The length of the outage decides which of the owner's calls comes first after it.
+func TestCommitInDoubt(t *testing.T) {
+	for length := 3 * time.Second; length < 4500*time.Millisecond; length += 50 * time.Millisecond {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkCommitInDoubt(t, length) })
+		})
+	}
+}
+
+func checkCommitInDoubt(t *testing.T, length time.Duration) {
+	g := gomega.NewWithT(t)
+	s := newSystem(t, 0, 2)
+	defer s.stopAndCheck()
+	var cancelled atomic.Bool
+	s.started = func(r schedule.Run) {
+		if cancelled.Load() {
+			t.Errorf("%v starts after its cancelling was acknowledged", r)
+		}
+	}
+	silent := &silentCommits{Store: s.kv}
+	s.store = silent
+	s.nodes = append(s.nodes, s.startEntry(0, "a"))
+	time.Sleep(3 * time.Second)
+
+	recordKey := "own/job/1"
+	silent.silenced.Store(&recordKey)
+	answers := make(chan owner.Outcome, 1)
+	go func() { answers <- s.submit(0, "1") }()
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(silent.silenced.Load()).To(gomega.BeNil(), "the job is recorded")
+	s.kv.SetFault(standin.KeyValueDropsRequests)
+	time.Sleep(length)
+	s.kv.SetFault(standin.KeyValueHealthy)
+	first := <-answers
+
+	a := owner.Answer{Outcome: owner.Unsettled}
+	for a.Outcome != owner.Done && a.Outcome != owner.NoJob {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		a = s.nodes[0].Cancel(ctx, "1", owner.Scope{})
+		cancel()
+		time.Sleep(100 * time.Millisecond)
+	}
+	g.Expect(first).To(gomega.Equal(owner.Unsettled))
+	time.Sleep(answerVisible)
+	cancelled.Store(true)
+	s.restartEntry(0)
+	time.Sleep(6 * time.Second)
+	g.Expect(s.show(0, "1").Phase).NotTo(gomega.Equal(job.Completed))
+}
--- a/owner/load.go
+++ b/owner/load.go
@@ -50,7 +50,7 @@
 }
 
 // addCommit counts a commit, whether or not it succeeded.
-func (l *load) addCommit(c pendingCommit, took time.Duration) {
+func (l *load) addCommit(c *pendingCommit, took time.Duration) {
 	l.commits++
 	l.committing += took
 	l.longest = max(l.longest, took)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -135,6 +135,9 @@
 	active bool
 	// tail is the tail of the records that core holds.
 	tail ledger.Tail
+	// commit is the last one until its outcome is known, which may be only when the next term
+	// begins; nil means that there is none.
+	commit *pendingCommit
 	// term is that of the last election won. The result of a recovery for an earlier
 	// term is dropped.
 	term shard.Term
--- a/owner/record.go
+++ b/owner/record.go
@@ -10,6 +10,7 @@
 	"almondcove/job"
 	"almondcove/ledger"
 	"almondcove/schedule"
+	"almondcove/store"
 )
 
 // Submit accepts a job. It returns once the job is recorded or refused, or ctx ends.
@@ -122,10 +123,19 @@
 	return Answer{Outcome: Unsettled, Reason: "not recorded in time"}
 }
 
-// respond answers an acceptance. The caller holds o.mu.
+// respond answers an acceptance, unless it has been answered. The caller holds o.mu.
 func (o *Owner) respond(a *acceptance, answer Answer) {
-	delete(o.pending, a.job.ID)
-	a.answer <- answer
+	if o.pending[a.job.ID] == a {
+		delete(o.pending, a.job.ID)
+		a.answer <- answer
+	}
+}
+
+// respondAll answers the acceptances of a commit. The caller holds o.mu.
+func (o *Owner) respondAll(commit *pendingCommit, answer Answer) {
+	for _, a := range commit.accepted {
+		o.respond(a, answer)
+	}
 }
 
 // Show returns the phase of a job.
@@ -237,6 +247,8 @@
 	// epoch is that of the term in which the commit was begun.
 	epoch int64
 	batch ledger.Batch
+	// tail is the tail that the commit leaves.
+	tail ledger.Tail
 	// recorded holds the core's changes that the batch contains in encoded form.
 	recorded schedule.RecordBatch
 	// accepted holds the acceptances that the commit completes.
@@ -248,12 +260,12 @@
 // one should then follow without a pause.
 func (o *Owner) commitOnce() bool {
 	o.mu.Lock()
-	core := o.core
 	if !o.active {
 		o.mu.Unlock()
 		return false
 	}
 	commit, err := o.prepareCommit()
+	o.commit = commit
 	if commit.batch.Size() > 0 {
 		o.commitStartedAt = time.Now()
 	}
@@ -274,14 +286,14 @@
 		o.load.addCommit(commit, took)
 	}
 	o.commitStartedAt = time.Time{}
-	o.finishCommit(core, commit, err)
+	o.finishCommit(commit, err)
 	return err == nil && commit.batch.Size() >= ledger.MaxBatchSize-2
 }
 
 // prepareCommit collects the changes that fit into one commit. One key is reserved for the
 // record of the fleet. The caller holds o.mu.
-func (o *Owner) prepareCommit() (pendingCommit, error) {
-	commit := pendingCommit{epoch: o.term.Epoch}
+func (o *Owner) prepareCommit() (*pendingCommit, error) {
+	commit := &pendingCommit{epoch: o.term.Epoch, tail: o.tail}
 	states, parts := o.core.UnrecordedKeys()
 	division := divideCommit(ledger.MaxBatchSize-1, [recordKinds]int{
 		newJobs: len(o.commitQueue), changedStates: states, changedParts: parts,
@@ -306,50 +318,58 @@
 		commit.recorded.Removed = o.core.Expired(time.Now(), room/2)
 		commit.batch.Removed = commit.recorded.Removed
 	}
+	if commit.batch.Size() > 0 {
+		commit.tail.Count++
+	}
 	return commit, err
 }
 
-// finishCommit applies the result of a commit: it answers the acceptances, updates
-// the core and wakes the waiting requests. If the commit succeeded but the core has
-// been replaced, it leaves the core as it is. The caller holds o.mu.
-func (o *Owner) finishCommit(core *schedule.Core, commit pendingCommit, err error) {
+// finishCommit handles the result of a commit, unless an election has settled it. If the
+// outcome is not known, the owner stops acting: only the next election tells whether the jobs
+// in the commit exist. The caller holds o.mu.
+func (o *Owner) finishCommit(commit *pendingCommit, err error) {
 	defer o.wakeWaiters()
 	if err != nil {
-		o.config.Log.Warn("failed to write records", "keys", commit.batch.Size(), "error", err)
-		answer := Answer{Outcome: Unsettled, Retry: retryAfterOwnerChange, Reason: err.Error()}
-		if _, ok := errors.Into[*ledger.Unwritten](err); ok {
-			answer = Answer{Outcome: Refused, Retry: retryAfterStoreLoss, Reason: "store lost"}
-			o.commitRefusedAt = time.Now()
-			wake(o.commitWake)
-		}
-		for _, a := range commit.accepted {
-			o.respond(a, answer)
-		}
-		if _, ok := errors.Into[*ledger.Deposed](err); ok && o.term.Epoch == commit.epoch {
-			o.active = false
-		}
-		if o.core == core {
-			core.CommitFailed(commit.recorded)
-		}
+		o.config.Log.Warn("failed to write records", "keys", commit.batch.Size(), "settled", o.commit != commit, "error", err)
+	}
+	if o.commit != commit {
 		return
 	}
-	if o.core != core {
-		for _, a := range commit.accepted {
-			o.respond(a, Answer{Outcome: Unsettled, Reason: "owner replaced"})
-		}
+	if err == nil {
+		o.commit, o.commitRefusedAt = nil, time.Time{}
+		o.applyCommit(commit)
+		return
+	}
+	if _, ok := errors.Into[*ledger.Unwritten](err); ok {
+		o.commit, o.commitRefusedAt = nil, time.Now()
+		o.core.CommitFailed(commit.recorded)
+		o.respondAll(commit, Answer{Outcome: Refused, Retry: retryAfterStoreLoss, Reason: "store lost"})
+		wake(o.commitWake)
+		return
+	}
+	o.respondAll(commit, Answer{Outcome: Unsettled, Retry: retryAfterOwnerChange, Reason: err.Error()})
+	if _, ok := errors.Into[*store.Invalid](err); ok {
+		o.commit = nil
+		o.core.CommitFailed(commit.recorded)
 		return
 	}
+	o.active = false
+}
+
+// applyCommit applies a commit that was carried out: it updates the core and answers the
+// acceptances. The caller holds o.mu.
+func (o *Owner) applyCommit(commit *pendingCommit) {
 	now := time.Now()
-	o.commitRefusedAt = time.Time{}
-	core.Committed(commit.recorded)
+	o.tail = commit.tail
+	o.core.Committed(commit.recorded)
 	for _, a := range commit.accepted {
-		core.Add(a.job, job.NewState(a.job), now)
+		o.core.Add(a.job, job.NewState(a.job), now)
 		o.config.Log.Info("job accepted", "job", a.job.ID, "queue", a.job.Queue, "team", a.job.Team,
 			"epoch", a.job.Epoch, "waited", now.Sub(a.job.Accepted).Milliseconds())
 		o.respond(a, Answer{Outcome: Done})
 	}
 	wake(o.planWake)
-	if len(o.commitQueue) > 0 || core.Unrecorded() {
+	if len(o.commitQueue) > 0 || o.core.Unrecorded() {
 		wake(o.commitWake)
 	}
 }
--- a/owner/term.go
+++ b/owner/term.go
@@ -11,9 +11,9 @@
 	"almondcove/store"
 )
 
-// Elected begins a new term. If no other process has owned the jobs since this one did, the
-// owner continues with its state in memory. Otherwise it first reads the records, in the
-// background. A term that [Owner.Deposed] has already ended does not begin.
+// Elected begins a new term. If the election replaced exactly the tail that this process has
+// written or read last, the owner continues with its state in memory. Otherwise it first reads
+// the records, in the background. A term that [Owner.Deposed] has already ended does not begin.
 func (o *Owner) Elected(t shard.Term) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -23,7 +23,7 @@
 	o.endTerm()
 	o.term = t
 	o.config.Ledger.SetTail(t.Tail)
-	if o.holdsRecordsOf(t.Replaced) {
+	if o.settleCommit(t.Replaced) {
 		o.continueCore(t)
 		return
 	}
@@ -37,11 +37,31 @@
 	})
 }
 
-// holdsRecordsOf reports whether the core holds the records as they were under a tail. A tail
-// that names this process is not enough: it may be that of an election whose answer was lost,
-// by which this process replaced another owner. The caller holds o.mu.
-func (o *Owner) holdsRecordsOf(tail ledger.Tail) bool {
-	return o.core != nil && o.tail.Run == tail.Run && o.tail.Epoch == tail.Epoch
+// settleCommit settles the commit whose outcome is not known by the tail that an election
+// replaced: no earlier transaction takes effect after it. It reports whether the core then
+// holds the records as they were under that tail. A tail that names this process is not
+// enough: it may be that of an election whose answer was lost, by which this process replaced
+// another owner. The caller holds o.mu.
+func (o *Owner) settleCommit(replaced ledger.Tail) bool {
+	commit := o.commit
+	o.commit = nil
+	switch {
+	case o.core != nil && replaced == o.tail:
+		if commit != nil {
+			o.config.Log.Info("commit in doubt was not carried out", "epoch", commit.epoch, "keys", commit.batch.Size())
+			o.core.CommitFailed(commit.recorded)
+			o.respondAll(commit, Answer{Outcome: Refused, Retry: retryAfterOwnerChange, Reason: "owner replaced"})
+		}
+		return true
+	case o.core != nil && commit != nil && replaced == commit.tail:
+		o.config.Log.Info("commit in doubt was carried out", "epoch", commit.epoch, "keys", commit.batch.Size())
+		o.applyCommit(commit)
+		return true
+	}
+	if commit != nil {
+		o.respondAll(commit, Answer{Outcome: Unsettled, Reason: "owner replaced"})
+	}
+	return false
 }
 
 // continueCore begins a term with the state in memory. The caller holds o.mu.
