Log the tail before the first owner as none

Cause: the lines of the first election said replaced=/0/0. Change: the form of an empty tail in logs, a comment on commits that the store doesn't take. No behaviour changes; the tests of ledger and owner pass.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -60,7 +60,14 @@
 	Count int64 `json:"count"`
 }
 
-func (t Tail) String() string { return fmt.Sprintf("%s/%d/%d", t.Run, t.Epoch, t.Count) }
+// String returns the form of the tail in logs: its members, or "none" if there has been no
+// owner.
+func (t Tail) String() string {
+	if t == (Tail{}) {
+		return "none"
+	}
+	return fmt.Sprintf("%s/%d/%d", t.Run, t.Epoch, t.Count)
+}
 
 // StoredTail is a tail with the store revision at which it was written.
 type StoredTail struct {
--- a/owner/record.go
+++ b/owner/record.go
@@ -349,6 +349,7 @@
 	}
 	o.respondAll(commit, Answer{Outcome: Unsettled, Retry: retryAfterOwnerChange, Reason: err.Error()})
 	if _, ok := errors.Into[*store.Invalid](err); ok {
+		// The store doesn't take the records as they are; the tail is as before.
 		o.commit = nil
 		o.core.CommitFailed(commit.recorded)
 		return
