--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -77,8 +77,8 @@
 	// recordsChanged is called with the operators' records of an entry after each change;
 	// nil is allowed.
 	recordsChanged func(i int, items map[string]store.Item)
-	// started is called with each run that a VM was ordered to start; nil is allowed.
-	started func(schedule.Run)
+	// started is called with each start order of an entry to a VM; nil is allowed.
+	started func(entry int, a schedule.Start)
 	// retention is how long the entries that are started next keep ended jobs.
 	retention time.Duration
 
@@ -242,14 +242,19 @@
 		c.system.t.Error(err)
 	}
 	if c.system.started != nil {
-		c.system.started(a.Run)
+		c.system.started(c.entry, a)
 	}
 	return w.Start(a, j.Steps[a.Run.Task.Step], taskDuration, time.Now())
 }
 
 func (c *vmClient) Stop(_ context.Context, v schedule.VM, a schedule.Stop) schedule.Result {
 	c.spend()
-	return c.system.worker(v.ID).Stop(a)
+	w := c.system.worker(v.ID)
+	if w == nil {
+		// The VM is not known any more, so there is no address to call.
+		return schedule.Unsent
+	}
+	return w.Stop(a)
 }
 
 func (c *vmClient) Pace(context.Context, schedule.VM, schedule.Pace) schedule.Result {
--- a/jobs/succession_test.go
+++ b/jobs/succession_test.go
@@ -96,9 +96,9 @@
 	s := newSystem(t, 0, 2)
 	defer s.stopAndCheck()
 	var cancelled atomic.Bool
-	s.started = func(r schedule.Run) {
+	s.started = func(_ int, a schedule.Start) {
 		if cancelled.Load() {
-			t.Errorf("%v starts after its cancelling was acknowledged", r)
+			t.Errorf("%v starts after its cancelling was acknowledged", a.Run)
 		}
 	}
 	silent := &silentCommits{Store: s.kv}
