--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -50,7 +52,7 @@
 func quota(w *world) verdict {
 	const cpu, width, capCPU = 1000, 8, 8000
 	w.addMachines(poolA, 8, 16000)
-	w.start(capCPU, route{queueA, poolA, 3})
+	w.start(capCPU, route{queueA, poolA, 3, 0})
 	most := int64(0)
 	w.onStart = func(liveRun) {
 		sum := int64(0)
@@ -63,7 +65,7 @@
 	w.mustSubmit(queueA, jobOne, width, long)
 	time.Sleep(2 * time.Second)
 	if w.trouble {
-		w.cutMinionsOf(jobOne, 8*time.Second)
+		w.cutMinionsOf(jobOne, 5500*time.Millisecond)
 		w.killLeader()
 	}
 	if !w.submit(queueA, jobTwo, 10*time.Second, long) {
@@ -81,7 +83,7 @@
 func twice(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
 	w.addMachines(poolB, 8, 16000)
-	w.start(0, route{queueA, poolA, 3})
+	w.start(0, route{queueA, poolA, 3, 0})
 	found := ""
 	w.onStart = func(started liveRun) {
 		for _, r := range w.live {
@@ -93,10 +95,10 @@
 	}
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 20 * time.Second}})
 	time.Sleep(time.Second)
-	w.configure(7, 0, route{queueA, poolB, 3})
+	w.configure(7, 0, route{queueA, poolB, 3, 0})
 	time.Sleep(4 * time.Second)
 	if w.trouble {
-		w.cutMinionsOf(jobOne, 8*time.Second)
+		w.cutMinionsOf(jobOne, 5500*time.Millisecond)
 		w.killLeader()
 	}
 	time.Sleep(10 * time.Second)
@@ -111,7 +113,7 @@
 // crashes crashes the minion that runs a batch task, three times.
 func crashes(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	w.start(0, route{queueA, poolA, 3})
+	w.start(0, route{queueA, poolA, 3, 0})
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 12 * time.Second}})
 	for range 3 {
 		if !until(20*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 }) {
@@ -147,9 +149,9 @@
 // droppedRoute drops the route of a job while a run of its task fails, and adds it again.
 func droppedRoute(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	kept := route{"tije37", poolB, 3}
+	kept := route{"tije37", poolB, 3, 0}
 	w.addMachines(poolB, 2, 16000)
-	w.start(0, route{queueA, poolA, 3}, kept)
+	w.start(0, route{queueA, poolA, 3, 0}, kept)
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 4 * time.Second, failAfter: 6 * time.Second, failRuns: 1}})
 	time.Sleep(time.Second)
 	if w.trouble {
@@ -157,7 +159,7 @@
 	}
 	time.Sleep(7 * time.Second)
 	if w.trouble {
-		w.configure(9, 0, route{queueA, poolA, 3}, kept)
+		w.configure(9, 0, route{queueA, poolA, 3, 0}, kept)
 	}
 	time.Sleep(2500 * time.Millisecond)
 	state := ""
@@ -174,7 +176,7 @@
 // system alone.
 func suspended(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	w.start(0, route{queueA, poolA, 3})
+	w.start(0, route{queueA, poolA, 3, 0})
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, daemon: true})
 	for range 5 {
 		if !until(20*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 }) {
@@ -188,3 +190,94 @@
 	restarted := until(30*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 })
 	return verdict{!restarted, fmt.Sprintf("LOST: the task that lasts runs within 30 s of the last crash: %v", restarted)}
 }
+
+// hopeless hands in a job whose task needs more than any minion has, so that it can never be
+// done, and then ordinary jobs.
+func hopeless(w *world) verdict {
+	const cpu, capacity = 1000, 16000
+	w.addMachines(poolA, 4, capacity)
+	w.start(0, route{queueA, poolA, 3, 0})
+	over, most := "", int64(0)
+	w.onStart = func(started liveRun) {
+		ordinary, all := int64(0), uint64(0)
+		for _, r := range w.live {
+			if r.minion == started.minion {
+				all += uint64(r.cpu)
+				if r.cpu == cpu {
+					ordinary += r.cpu
+				}
+			}
+		}
+		most = max(most, ordinary)
+		if all > capacity && over == "" {
+			over = fmt.Sprintf("run %s#%d brings %s to %d of cpu", started.task, started.number, started.minion.id, all)
+			w.rec.printf("%s", over)
+		}
+	}
+	long := taskPlan{work: 12 * time.Second}
+	w.mustSubmit(queueA, jobOne, 8, step{count: 8, cpu: cpu, plan: long})
+	if w.trouble {
+		w.submit(queueA, jobTwo, 5*time.Second, step{count: 1, cpu: math.MaxInt64, apart: 1, plan: long})
+		time.Sleep(time.Second)
+	}
+	w.submit(queueA, "0b7d2f6619c8ae35", 5*time.Second, step{count: 90, cpu: cpu, plan: long})
+	time.Sleep(8 * time.Second)
+	w.runsMu.Lock()
+	defer w.runsMu.Unlock()
+	return verdict{over != "", fmt.Sprintf("LIMIT: %s; at most %d in ordinary tasks on one minion of %d", cmp.Or(over, "no start above a capacity"), most, capacity)}
+}
+
+// cancelled has a tenant at its cap, with a second job that waits. The tenant cancels the
+// first job, and the owner is stopped.
+func cancelled(w *world) verdict {
+	const cpu, width, capCPU = 1000, 8, 8000
+	w.stopTime = 800 * time.Millisecond
+	w.addMachines(poolA, 8, 16000)
+	w.start(capCPU, route{queueA, poolA, 3, 0})
+	most := int64(0)
+	w.onStart = func(liveRun) {
+		sum := int64(0)
+		for _, r := range w.live {
+			sum += r.cpu
+		}
+		most = max(most, sum)
+	}
+	long := step{count: width, cpu: cpu, plan: taskPlan{work: 15 * time.Second}}
+	w.mustSubmit(queueA, jobOne, width, long)
+	w.submit(queueA, jobTwo, 5*time.Second, long)
+	time.Sleep(2 * time.Second)
+	w.call(w.entries[0], "DELETE", "/"+queueA+"/"+jobOne, nil)
+	if w.trouble {
+		w.leader().terminate()
+	}
+	time.Sleep(8 * time.Second)
+	w.runsMu.Lock()
+	defer w.runsMu.Unlock()
+	limit := int64(capCPU*11/10 + cpu)
+	return verdict{most > limit, fmt.Sprintf("QUOTA: at most %d of cpu at a start; the limit is %d", most, limit)}
+}
+
+// upkeep begins a wave with a cap of one. The first call for an upkeep gets no answer and is
+// carried out two seconds later; meanwhile the owner is stopped.
+func upkeep(w *world) verdict {
+	w.addMachines(poolA, 8, 16000)
+	w.start(0, route{queueA, poolA, 3, 0})
+	w.mu.Lock()
+	if w.trouble {
+		w.lateUpkeep = 2 * time.Second
+	}
+	w.onLate = func() {
+		time.AfterFunc(200*time.Millisecond, func() { w.leader().terminate() })
+	}
+	machines := []string{}
+	for _, m := range w.machines[:6] {
+		machines = append(machines, m.name)
+	}
+	w.mu.Unlock()
+	w.store.put("op/wave/1", map[string]any{"wave": 1, "machines": machines, "withinS": 26, "cap": 1})
+	w.rec.printf("the operator asks for wave 1 of %v with a cap of 1", machines)
+	time.Sleep(26 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return verdict{w.mostUpkeeps > 1, fmt.Sprintf("LIMIT: at most %d machines of the wave down for upkeep at once; its cap is 1", w.mostUpkeeps)}
+}
--- a/review/second/cloud.go
+++ b/review/second/cloud.go
@@ -51,17 +51,46 @@
 	return mux
 }
 
+// machineCall is a call to move a machine or to begin its upkeep.
+type machineCall struct {
+	Machine string `json:"machine"`
+	Pool    string `json:"pool"`
+	Wave    int64  `json:"wave"`
+	// move is set for a move.
+	move   bool
+	holder string
+	fence  int64
+}
+
 func (w *world) serveMachineOrder(rw http.ResponseWriter, r *http.Request) {
-	var in struct {
-		Machine string `json:"machine"`
-		Pool    string `json:"pool"`
-		Wave    int64  `json:"wave"`
-	}
+	in := machineCall{move: r.URL.Path == "/-/machine-move", holder: r.Header.Get("Holder")}
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		reply(rw, http.StatusBadRequest, nil)
 		return
 	}
-	fence, _ := strconv.ParseInt(r.Header.Get("Fence-Token"), 10, 64)
+	in.fence, _ = strconv.ParseInt(r.Header.Get("Fence-Token"), 10, 64)
+	w.mu.Lock()
+	delay := w.lateUpkeep
+	if !in.move {
+		w.lateUpkeep = 0
+	}
+	w.mu.Unlock()
+	if !in.move && delay > 0 {
+		w.rec.printf("the call of %s for the upkeep of %s gets no answer and is carried out in %v", in.holder, in.Machine, delay)
+		w.onLate()
+		time.AfterFunc(delay, func() {
+			code, _ := w.machineOrder(in)
+			w.rec.printf("the late call for the upkeep of %s is carried out: %d", in.Machine, code)
+		})
+		<-r.Context().Done()
+		return
+	}
+	code, body := w.machineOrder(in)
+	reply(rw, code, body)
+}
+
+// machineOrder carries out a call.
+func (w *world) machineOrder(in machineCall) (int, any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var m *machine
@@ -70,29 +99,32 @@
 			m = each
 		}
 	}
-	move := r.URL.Path == "/-/machine-move"
 	switch {
 	case m == nil:
-		reply(rw, http.StatusBadRequest, nil)
-		return
-	case fence < m.fence:
-		reply(rw, http.StatusConflict, map[string]string{"reason": "fence"})
-		return
-	case move && m.pool == in.Pool, !move && m.upkept[in.Wave]:
-		m.fence = fence
-		reply(rw, http.StatusOK, nil)
-		return
+		return http.StatusBadRequest, nil
+	case in.fence < m.fence:
+		return http.StatusConflict, map[string]string{"reason": "fence"}
+	case in.move && m.pool == in.Pool, !in.move && m.upkept[in.Wave]:
+		m.fence = in.fence
+		return http.StatusOK, nil
 	case m.state != "up":
-		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
-		return
+		return http.StatusConflict, map[string]string{"reason": "busy"}
 	}
-	m.fence = fence
-	w.rec.printf("%s of machine %s ordered by %s with token %d", r.URL.Path, m.name, r.Header.Get("Holder"), fence)
-	down := upkeepTime
-	if move {
-		m.pool, m.state, down = in.Pool, "moving", moveTime
+	m.fence = in.fence
+	down := moveTime
+	if in.move {
+		w.rec.printf("move of machine %s to %s ordered by %s with token %d", m.name, in.Pool, in.holder, in.fence)
+		m.pool, m.state = in.Pool, "moving"
 	} else {
-		m.upkept[in.Wave], m.state = true, "upkeep"
+		under := 0
+		for _, other := range w.machines {
+			if other.state == "upkeep" {
+				under++
+			}
+		}
+		w.rec.printf("upkeep of machine %s begins, ordered by %s with token %d, while %d are down for theirs", m.name, in.holder, in.fence, under)
+		w.mostUpkeeps = max(w.mostUpkeeps, under+1)
+		m.upkept[in.Wave], m.state, down = true, "upkeep", upkeepTime
 	}
 	if old := m.minion; old != nil {
 		m.minion = nil
@@ -104,7 +136,7 @@
 		w.mu.Unlock()
 		w.startMinion(m)
 	})
-	reply(rw, http.StatusOK, nil)
+	return http.StatusOK, nil
 }
 
 // crash ends the minion of a machine, which starts another one after the given time.
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -22,7 +22,7 @@
 }
 
 var cases = map[string]func(*world) verdict{
-	"quota": quota, "twice": twice, "crashes": crashes, "route": droppedRoute, "suspended": suspended,
+	"quota": quota, "twice": twice, "crashes": crashes, "route": droppedRoute, "suspended": suspended, "hopeless": hopeless, "cancelled": cancelled, "upkeep": upkeep,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/minion.go
+++ b/review/second/minion.go
@@ -13,7 +13,8 @@
 const (
 	heartbeat = 1500 * time.Millisecond
 	maxHold   = 6 * time.Second
-	stopTime  = 100 * time.Millisecond
+	// maxStop is the longest time that a stop takes.
+	maxStop = 900 * time.Millisecond
 )
 
 // taskPlan tells how the runs of a task go.
@@ -252,7 +253,7 @@
 	case "/-/run-stop":
 		n.highest[in.Task] = max(n.highest[in.Task], in.Run)
 		if r := n.running[in.Task]; r != nil && r.number == in.Run && !r.stopped {
-			r.stopped, r.endsAt, r.how = true, time.Now().Add(stopTime), "stopped"
+			r.stopped, r.endsAt, r.how = true, time.Now().Add(n.w.stopTime), "stopped"
 		}
 	case "/-/pace":
 	default:
