--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -52,7 +53,7 @@
 func quota(w *world) verdict {
 	const cpu, width, capCPU = 1000, 8, 8000
 	w.addMachines(poolA, 8, 16000)
-	w.start(capCPU, route{queueA, poolA, 3, 0})
+	w.start(capCPU, route{queueA, poolA, 3, 0, false})
 	most := int64(0)
 	w.onStart = func(liveRun) {
 		sum := int64(0)
@@ -83,7 +84,7 @@
 func twice(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
 	w.addMachines(poolB, 8, 16000)
-	w.start(0, route{queueA, poolA, 3, 0})
+	w.start(0, route{queueA, poolA, 3, 0, false})
 	found := ""
 	w.onStart = func(started liveRun) {
 		for _, r := range w.live {
@@ -95,7 +96,7 @@
 	}
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 20 * time.Second}})
 	time.Sleep(time.Second)
-	w.configure(7, 0, route{queueA, poolB, 3, 0})
+	w.configure(7, 0, route{queueA, poolB, 3, 0, false})
 	time.Sleep(4 * time.Second)
 	if w.trouble {
 		w.cutMinionsOf(jobOne, 5500*time.Millisecond)
@@ -113,7 +114,7 @@
 // crashes crashes the minion that runs a batch task, three times.
 func crashes(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	w.start(0, route{queueA, poolA, 3, 0})
+	w.start(0, route{queueA, poolA, 3, 0, false})
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 12 * time.Second}})
 	for range 3 {
 		if !until(20*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 }) {
@@ -149,9 +150,9 @@
 // droppedRoute drops the route of a job while a run of its task fails, and adds it again.
 func droppedRoute(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	kept := route{"tije37", poolB, 3, 0}
+	kept := route{"tije37", poolB, 3, 0, false}
 	w.addMachines(poolB, 2, 16000)
-	w.start(0, route{queueA, poolA, 3, 0}, kept)
+	w.start(0, route{queueA, poolA, 3, 0, false}, kept)
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 4 * time.Second, failAfter: 6 * time.Second, failRuns: 1}})
 	time.Sleep(time.Second)
 	if w.trouble {
@@ -159,7 +160,7 @@
 	}
 	time.Sleep(7 * time.Second)
 	if w.trouble {
-		w.configure(9, 0, route{queueA, poolA, 3, 0}, kept)
+		w.configure(9, 0, route{queueA, poolA, 3, 0, false}, kept)
 	}
 	time.Sleep(2500 * time.Millisecond)
 	state := ""
@@ -176,7 +177,7 @@
 // system alone.
 func suspended(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	w.start(0, route{queueA, poolA, 3, 0})
+	w.start(0, route{queueA, poolA, 3, 0, false})
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, daemon: true})
 	for range 5 {
 		if !until(20*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 }) {
@@ -196,7 +197,7 @@
 func hopeless(w *world) verdict {
 	const cpu, capacity = 1000, 16000
 	w.addMachines(poolA, 4, capacity)
-	w.start(0, route{queueA, poolA, 3, 0})
+	w.start(0, route{queueA, poolA, 3, 0, false})
 	over, most := "", int64(0)
 	w.onStart = func(started liveRun) {
 		ordinary, all := int64(0), uint64(0)
@@ -233,7 +234,7 @@
 	const cpu, width, capCPU = 1000, 8, 8000
 	w.stopTime = 800 * time.Millisecond
 	w.addMachines(poolA, 8, 16000)
-	w.start(capCPU, route{queueA, poolA, 3, 0})
+	w.start(capCPU, route{queueA, poolA, 3, 0, false})
 	most := int64(0)
 	w.onStart = func(liveRun) {
 		sum := int64(0)
@@ -261,7 +262,7 @@
 // carried out two seconds later; meanwhile the owner is stopped.
 func upkeep(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
-	w.start(0, route{queueA, poolA, 3, 0})
+	w.start(0, route{queueA, poolA, 3, 0, false})
 	w.mu.Lock()
 	if w.trouble {
 		w.lateUpkeep = 2 * time.Second
@@ -281,3 +282,82 @@
 	defer w.mu.Unlock()
 	return verdict{w.mostUpkeeps > 1, fmt.Sprintf("LIMIT: at most %d machines of the wave down for upkeep at once; its cap is 1", w.mostUpkeeps)}
 }
+
+// waiting has a full pool but for one minion, which refuses to start tasks for seven seconds.
+// Meanwhile sixteen jobs wait.
+func waiting(w *world) verdict {
+	const cpu, minions, perMinion = 1000, 10, 16
+	w.addMachines(poolA, minions, perMinion*cpu)
+	w.start(0, route{queueA, poolA, 3, 0, false})
+	long := taskPlan{work: 60 * time.Second}
+	w.mustSubmit(queueA, jobOne, (minions-1)*perMinion, step{count: (minions - 1) * perMinion, cpu: cpu, plan: long})
+	var idle *minion
+	for _, n := range w.minions {
+		n.mu.Lock()
+		if len(n.running) == 0 {
+			idle = n
+		}
+		n.mu.Unlock()
+	}
+	if idle == nil {
+		w.fatal(errors.New("no idle minion"))
+	}
+	setUnhealthy := func(unhealthy bool) {
+		idle.mu.Lock()
+		defer idle.mu.Unlock()
+		idle.unhealthy = unhealthy
+		w.rec.printf("minion %s refuses starts: %v", idle.id, unhealthy)
+	}
+	setUnhealthy(w.trouble)
+	var ids []string
+	for i := range perMinion {
+		id := fmt.Sprintf("00000000abcd%04x", i)
+		if w.submit(queueA, id, 2*time.Second, step{count: 1, cpu: cpu, plan: long}) {
+			ids = append(ids, id)
+		}
+	}
+	time.Sleep(5500 * time.Millisecond)
+	w.runsMu.Lock()
+	begun := 0
+	for _, id := range ids {
+		for task := range w.startedTasks {
+			if jobOf(task) == id {
+				begun++
+			}
+		}
+	}
+	w.runsMu.Unlock()
+	_, text := w.call(w.entries[1], "GET", "/"+queueA+"/", nil)
+	var body struct {
+		Waiting int `json:"waiting"`
+	}
+	if err := json.Unmarshal([]byte(text), &body); err != nil {
+		w.fatal(err)
+	}
+	w.state(queueA, ids[0], time.Second)
+	setUnhealthy(false)
+	time.Sleep(2 * time.Second)
+	unbegun := len(ids) - begun
+	return verdict{2*body.Waiting < unbegun, fmt.Sprintf("MIXED: %d jobs shown as waiting; %d were accepted over 5 s before and have not begun", body.Waiting, unbegun)}
+}
+
+// policy hands in a job that no minion may run, on a queue with advice, and then a job on
+// another queue of the same service, which any of its idle minions may run.
+func policy(w *world) verdict {
+	const free = "tije37"
+	w.addMachines(poolA, 8, 16000)
+	w.start(0, route{queueA, poolA, 3, 0, true}, route{free, poolA, 3, 0, false})
+	w.notAllowed = jobTwo
+	second := step{count: 1, cpu: 1000, plan: taskPlan{work: time.Second}}
+	if w.trouble && !w.submit(queueA, jobTwo, 5*time.Second, second) {
+		w.fatal(errors.New("first job not accepted"))
+	}
+	if !w.submit(free, jobOne, 5*time.Second, second) {
+		w.fatal(errors.New("second job not accepted"))
+	}
+	accepted := time.Now()
+	begun := until(40*time.Second, func() bool { return len(w.runsOf(jobOne)) > 0 || w.countEnds(jobOne, "done") > 0 })
+	waited := time.Since(accepted).Round(time.Millisecond)
+	state := w.state(free, jobOne, 3*time.Second)
+	return verdict{!begun, fmt.Sprintf("LOST: the job has begun: %v, after %v, and is shown as %q; nothing else ran", begun, waited, state)}
+}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -22,7 +22,7 @@
 }
 
 var cases = map[string]func(*world) verdict{
-	"quota": quota, "twice": twice, "crashes": crashes, "route": droppedRoute, "suspended": suspended, "hopeless": hopeless, "cancelled": cancelled, "upkeep": upkeep,
+	"quota": quota, "twice": twice, "crashes": crashes, "route": droppedRoute, "suspended": suspended, "hopeless": hopeless, "cancelled": cancelled, "upkeep": upkeep, "waiting": waiting, "policy": policy,
 }
 
 func main() { os.Exit(run()) }
--- a/review/second/minion.go
+++ b/review/second/minion.go
@@ -68,6 +68,8 @@
 	// cut is set while no machine of the system reaches the minion, and gone once it has
 	// ended.
 	cut, gone bool
+	// unhealthy is set while the minion refuses to start tasks.
+	unhealthy bool
 }
 
 func (w *world) startMinion(m *machine) {
@@ -179,6 +181,7 @@
 	UntilMs  int64  `json:"untilMs"`
 	Fence    int64  `json:"fence"`
 	SeenUpto int64  `json:"seenUpto"`
+	Ticket   string `json:"ticket"`
 	WaitMs   int64  `json:"waitMs"`
 }
 
@@ -274,6 +277,13 @@
 	if in.Run <= n.highest[in.Task] || n.running[in.Task] != nil {
 		return refuse("old")
 	}
+	if n.unhealthy {
+		n.w.rec.printf("minion %s refuses to start %s#%d with 503", n.id, in.Task, in.Run)
+		return http.StatusServiceUnavailable, nil
+	}
+	if !n.w.ticketValid(n.id, in) {
+		return refuse("ticket")
+	}
 	plan := n.w.plan(in.Task)
 	r := &taskRun{task: in.Task, number: in.Run, began: time.Now(), plan: plan}
 	if plan.work > 0 {
@@ -331,3 +341,14 @@
 	id, _, _ := strings.Cut(task, ".")
 	return id
 }
+
+// ticketValid reports whether an order to start a task carries a valid ticket, or needs none.
+func (w *world) ticketValid(id string, in orderBody) bool {
+	w.runsMu.Lock()
+	defer w.runsMu.Unlock()
+	if !w.advisedJobs[jobOf(in.Task)] {
+		return true
+	}
+	stage := in.Task[:strings.LastIndex(in.Task, ".")]
+	return in.Ticket == stage+"@"+id && time.Now().Before(w.tickets[in.Ticket])
+}
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +28,14 @@
 	dir   string
 	store *kvStore
 	cloud string
+	// advice is the address of the advice service, and tickets holds until when its tickets
+	// are valid.
+	advice  string
+	tickets map[string]time.Time
+	// notAllowed is a job that no minion may run.
+	notAllowed string
+	// advisedQueues holds the queues with advice, and advisedJobs their jobs.
+	advisedJobs, advisedQueues map[string]bool
 	// stopTime is how long a stop takes.
 	stopTime time.Duration
 	// trouble is unset if the case is to run without its disruption.
@@ -52,6 +62,8 @@
 	live map[string]liveRun
 	// onStart is called with runsMu held after each start.
 	onStart func(started liveRun)
+	// startedTasks holds the tasks of which a run has begun.
+	startedTasks map[string]bool
 	// ends counts the ends of each task by how it ended.
 	ends map[string]map[string]int
 }
@@ -71,9 +83,12 @@
 	}
 	w := &world{
 		rec: rec, dir: dir, stopTime: 100 * time.Millisecond, store: newStore(), trouble: os.Getenv("TROUBLE") != "0", plans: make(map[string]map[string]taskPlan),
-		failed: make(map[string]int), live: make(map[string]liveRun), ends: make(map[string]map[string]int),
+		failed: make(map[string]int), live: make(map[string]liveRun), startedTasks: make(map[string]bool), tickets: make(map[string]time.Time), advisedJobs: make(map[string]bool), advisedQueues: make(map[string]bool), ends: make(map[string]map[string]int),
 	}
-	w.cloud, err = serve("127.0.0.1", w.cloudHandler())
+	if w.cloud, err = serve("127.0.0.1", w.cloudHandler()); err != nil {
+		return nil, err
+	}
+	w.advice, err = serve("127.0.0.1", w.adviceHandler())
 	return w, err
 }
 
@@ -122,6 +137,7 @@
 	defer w.runsMu.Unlock()
 	started := liveRun{n, r.task, r.number, p.cpu}
 	w.live[n.id+" "+r.task] = started
+	w.startedTasks[r.task] = true
 	w.rec.printf("run %s#%d starts on %s", r.task, r.number, n.id)
 	if w.onStart != nil {
 		w.onStart(started)
@@ -163,9 +179,36 @@
 	ended    chan struct{}
 }
 
+// Ports of the entries, the last one of which the program itself sets.
+var entryPorts = []int{7000, 8340, 8343, 9464}
+
+// freeNetwork returns the first three numbers of loopback addresses on which the ports of n
+// entries are free.
+func (w *world) freeNetwork(n int) string {
+	for range 20 {
+		network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
+		free := true
+		for i := range n {
+			for _, port := range entryPorts {
+				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, i+1, port))
+				if err != nil {
+					free = false
+					continue
+				}
+				_ = l.Close()
+			}
+		}
+		if free {
+			return network
+		}
+	}
+	w.fatal(errors.New("no free ports"))
+	return ""
+}
+
 // startEntries starts entries, one in each zone.
 func (w *world) startEntries(n int) {
-	network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
+	network := w.freeNetwork(n)
 	for i := range n {
 		zone := fmt.Sprintf("z-%c", 'a'+i%3)
 		e := &entry{w: w, name: "front-" + zone, ip: fmt.Sprintf("%s.%d", network, i+1), zone: zone}
@@ -313,6 +356,7 @@
 heartbeatMs = 1500
 contracts = ["base","drain","config","cost","recover","sched","tenants","quota","places","platform","advice","upkeep","sharing"]
 orders = "rpc"
+advice = %q
 [zones]
 z-a = "reg"
 z-b = "reg"
@@ -377,7 +421,7 @@
 ratePerS = 64.0
 duties = []
 dutyPerS = 64.0
-`, e.name, e.ip, e.zone, e.front, e.ip, e.ip, store, e.w.cloud)
+`, e.name, e.ip, e.zone, e.w.advice, e.front, e.ip, e.ip, store, e.w.cloud)
 }
 
 // route is a queue of the configuration.
@@ -386,6 +430,8 @@
 	attempts      int
 	// prio is the priority; zero comes first.
 	prio int
+	// advised is set if the advice service says where the tasks may run.
+	advised bool
 }
 
 // Names and keys of the configuration.
@@ -400,10 +446,15 @@
 func (w *world) configure(version int64, capCPU int64, routes ...route) {
 	rows, pools := []any{}, []any{}
 	for _, r := range routes {
-		rows = append(rows, map[string]any{
+		row := map[string]any{
 			"name": r.name, "host": host, "prefix": "/" + r.name + "/", "kind": "unsafe", "timeoutMs": 3000, "sloMs": 600, "prio": r.prio,
 			"service": r.service, "attempts": r.attempts, "stretch": 1.6, "public": false,
-		})
+		}
+		if r.advised {
+			row["advice"] = json.RawMessage(adviceField)
+			w.advisedQueues[r.name] = true
+		}
+		rows = append(rows, row)
 	}
 	for _, s := range strings.Split(services, ",") {
 		pools = append(pools, map[string]any{
@@ -482,6 +533,7 @@
 	}
 	w.runsMu.Lock()
 	w.plans[id] = plans
+	w.advisedJobs[id] = w.advisedQueues[queue]
 	w.runsMu.Unlock()
 	body := map[string]any{"spec": "work", "steps": rows}
 	for began, i := time.Now(), 0; time.Since(began) < patience; i++ {
@@ -537,6 +589,6 @@
 		return true
 	})
 	if !ok {
-		w.fatal(fmt.Errorf("entries not ready"))
+		w.fatal(errors.New("entries not ready"))
 	}
 }
