Case 8: another job stands still while its route is gone

The route is dropped for 30 s now instead of 7. A second job, whose first step ends meanwhile, shows that its next step does not begin: the core has no pool for a queue that the configuration lacks. Same fault as that of the first job, which is checked as before.

--- a/review/second/cases.go
+++ b/review/second/cases.go
@@ -147,18 +147,24 @@
 	return n
 }
 
-// droppedRoute drops the route of a job while a run of its task fails, and adds it again.
+// droppedRoute drops the route of two jobs, and adds it again after 30 s. Meanwhile the first
+// run of one of them fails, and the first step of the other ends.
 func droppedRoute(w *world) verdict {
 	w.addMachines(poolA, 8, 16000)
 	kept := route{"tije37", poolB, 3, 0, false}
 	w.addMachines(poolB, 2, 16000)
 	w.start(0, route{queueA, poolA, 3, 0, false}, kept)
 	w.mustSubmit(queueA, jobOne, 1, step{count: 1, cpu: 1000, plan: taskPlan{work: 4 * time.Second, failAfter: 6 * time.Second, failRuns: 1}})
+	w.mustSubmit(queueA, jobTwo, 1,
+		step{count: 1, cpu: 1000, plan: taskPlan{work: 4 * time.Second}},
+		step{count: 1, cpu: 1000, after: []int{0}, plan: taskPlan{work: time.Second}})
 	time.Sleep(time.Second)
 	if w.trouble {
 		w.configure(7, 0, kept)
 	}
-	time.Sleep(7 * time.Second)
+	time.Sleep(30 * time.Second)
+	begun := w.hasStarted(jobTwo + ".0.1.0")
+	w.rec.printf("the second step of %s has begun: %v", jobTwo, begun)
 	if w.trouble {
 		w.configure(9, 0, route{queueA, poolA, 3, 0, false}, kept)
 	}
@@ -169,8 +175,12 @@
 		time.Sleep(500 * time.Millisecond)
 		return state == "failed" || state == "completed"
 	})
+	w.state(queueA, jobTwo, 3*time.Second)
 	failed := w.countEnds(jobOne, "failed")
-	return verdict{state == "failed" && failed < 3, fmt.Sprintf("LOST: the job is shown as %q; %d runs ended failed, 3 attempts", state, failed)}
+	return verdict{
+		state == "failed" && failed < 3 || !begun,
+		fmt.Sprintf("LOST: the first job is shown as %q; %d runs ended failed, 3 attempts. The second step of the other had begun 30 s after the drop: %v", state, failed, begun),
+	}
 }
 
 // suspended crashes the minion that runs a task that lasts, five times, and then leaves the
--- a/review/second/world.go
+++ b/review/second/world.go
@@ -168,6 +168,13 @@
 	return out
 }
 
+// hasStarted reports whether a run of a task has begun.
+func (w *world) hasStarted(task string) bool {
+	w.runsMu.Lock()
+	defer w.runsMu.Unlock()
+	return w.startedTasks[task]
+}
+
 // entry is an almondcove process.
 type entry struct {
 	w        *world
