Wait for the VMs of every pool in which a task may run

Cause: a gate held the pool of its VM, and planPool asked it by the pool that the queue has now. Nothing recorded in which pools the tasks of a job may have been started, so that a new owner could not know.

Change: the parts of the record of the fleet hold, for each queue with accepted jobs, the pools in which its tasks may have been started, and for each VM the pools whose tasks may run there. A gate holds the jobs of earlier epochs whose queue shares a pool with it. A start waits until the pool is recorded for its queue, which for a queue that has not moved comes with the commit of its first job. Pools without runs are dropped again. Records of the previous version lack both lists; a missing one means any pool.

Related paths mended by the same record: a VM that is listed in another pool while it runs tasks, two owners in a row, copies of stalled tasks.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -230,6 +230,7 @@
 	if o.core != nil {
 		o.core.SetView(v, time.Now())
 		wake(o.planWake)
+		wake(o.commitWake)
 	}
 }
 
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -89,6 +89,10 @@
 	// gates holds, by VM id, a gate for each VM that may run tasks of the previous
 	// owner and has not yet reported to this one.
 	gates map[string]*gate
+	// queues holds the queues that have or had accepted jobs, by name. poolsReviewedAt is
+	// when their pools were last reviewed.
+	queues          map[string]*queue
+	poolsReviewedAt time.Time
 	// dirty holds the jobs whose state has changed since [Core.TakeRecords] last took
 	// it.
 	dirty map[job.ID]*trackedJob
@@ -214,6 +218,8 @@
 // trackedJob is a job with its scheduling state.
 type trackedJob struct {
 	*job.Job
+	// queue is the queue of the job; nil if the job had ended when it was read.
+	queue  *queue
 	state  *job.State
 	stages map[job.Stage]*stage
 	// recordedPhase is the phase in the job's last written record.
@@ -311,6 +317,7 @@
 		active:   make(map[job.ID]*trackedJob),
 		teams:    make(map[string]*team),
 		gates:    make(map[string]*gate),
+		queues:   make(map[string]*queue),
 		retired:  make(map[string]retirement),
 		averages: make(map[string]*queueAverages),
 		dirty:    make(map[job.ID]*trackedJob),
@@ -345,6 +352,9 @@
 // SetView replaces the configuration.
 func (c *Core) SetView(v View, now time.Time) {
 	c.view = v
+	for _, q := range c.queues {
+		c.enterPool(q)
+	}
 	c.setWaves(v.Waves, now)
 	c.reassignStages()
 }
@@ -452,6 +462,7 @@
 		c.jobs[j.ID] = tj
 		return
 	}
+	tj.queue = c.queue(j.Queue, j.Epoch < c.epoch)
 	tj.stages = make(map[job.Stage]*stage)
 	tj.depth = chainLengths(j)
 	tj.criticalPath = slices.Max(tj.depth)
@@ -592,5 +603,6 @@
 	if _, ok := c.view.Queues[j.Queue]; !ok {
 		return time.Second, false
 	}
+	c.queue(j.Queue, false)
 	return 0, true
 }
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -22,6 +22,8 @@
 	// Retired lists the VMs whose machines were moved or sent to maintenance, and which the
 	// platform's list may still show.
 	Retired []RetiredVM `json:"-"`
+	// Queues lists the queues that have or had accepted jobs.
+	Queues []QueueRecord `json:"-"`
 }
 
 // RetiredVM is the record of a VM whose machine was moved or sent to maintenance.
@@ -38,6 +40,9 @@
 	VM
 	// Machine is the machine on which the VM was last listed; empty if it is not known.
 	Machine string `json:"machine,omitempty"`
+	// Pools lists the pools whose tasks may run on the VM; nil means any pool, as in a record
+	// of an earlier version.
+	Pools []string `json:"pools,omitempty"`
 	// Exact is set if the VM can run nothing but Held. That holds for a VM that does not
 	// answer, because it gets no new runs and no lease renewal, and for every VM during a
 	// handover, unless the VM has not reported to this owner yet.
@@ -50,22 +55,23 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// FleetPart is a part of the record of the VMs. The part of a VM follows from its id, so
-// that a change of one VM rewrites few others.
+// FleetPart is a part of the record of the VMs and the queues. The part of each follows from
+// its id or name, so that a change of one rewrites few others.
 type FleetPart struct {
-	Number  int         `json:"number"`
-	VMs     []Place     `json:"vms"`
-	Retired []RetiredVM `json:"retired,omitempty"`
+	Number  int           `json:"number"`
+	VMs     []Place       `json:"vms"`
+	Retired []RetiredVM   `json:"retired,omitempty"`
+	Queues  []QueueRecord `json:"queues,omitempty"`
 }
 
-// FleetParts is the number of parts of the record of the VMs.
+// FleetParts is the number of parts of the record of the VMs and the queues.
 const FleetParts = 32
 
-// partOf returns the number of the part of a VM.
-func partOf(vm string) int {
+// partOf returns the number of the part of a VM or a queue.
+func partOf(name string) int {
 	h := fnv.New32a()
 	// Writing to a hash never fails.
-	_, _ = h.Write([]byte(vm))
+	_, _ = h.Write([]byte(name))
 	return int(h.Sum32() % FleetParts)
 }
 
@@ -121,6 +127,7 @@
 			out[i].VMs = append(out[i].VMs, c.place(v, now))
 		}
 	}
+	c.takeQueues(out, index)
 	for id, r := range c.retired {
 		left := retiredGracePeriod - now.Sub(r.at)
 		if i, ok := index[partOf(id)]; ok && left > 0 {
@@ -138,7 +145,7 @@
 // that the record lists as exact, so that the next owner can rely on Left.
 func (c *Core) place(v *vm, now time.Time) Place {
 	// The runs of a VM with a gate are not known.
-	out := Place{VM: v.VM, Machine: v.lastMachine, Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
+	out := Place{VM: v.VM, Machine: v.lastMachine, Pools: c.poolsOn(v).record(), Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
 	if !out.Exact {
 		return out
 	}
@@ -160,6 +167,25 @@
 	return out
 }
 
+// poolsOn returns the pools whose tasks may run on a VM: its own, those in which its runs were
+// started, and those that its gate stands for. As long as the record of a queue does not list
+// the pool of a run, the next owner has to expect tasks of any pool.
+func (c *Core) poolsOn(v *vm) poolSet {
+	out := poolSet{names: []string{v.Pool}}
+	if g := c.gates[v.ID]; g != nil {
+		out = out.union(g.pools)
+	}
+	v.runsUnrecorded = false
+	for _, r := range v.runs {
+		if q := r.task.stage.trackedJob.queue; q != nil && !q.recorded.has(r.pool) {
+			v.runsUnrecorded = true
+			return poolSet{all: true}
+		}
+		out.add(r.pool)
+	}
+	return out
+}
+
 // fleetWithoutVMs returns the record of the fleet without its VMs.
 func (c *Core) fleetWithoutVMs() *Fleet {
 	out := &Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -5,17 +5,19 @@
 	"time"
 )
 
-// gate blocks starts for a pool's jobs of earlier epochs, because a VM may still run
-// their tasks. It lasts until that VM has answered the new owner, or until all leases
-// that the VM was granted have expired.
+// gate blocks starts for jobs of earlier epochs, because a VM may still run their tasks. It
+// lasts until that VM has answered the new owner, or until all leases that the VM was granted
+// have expired.
 type gate struct {
-	pool  string
+	// pools holds the pools whose tasks may run on the VM. The gate concerns the jobs that
+	// may have been started in one of them, wherever their tasks would start now.
+	pools poolSet
 	until time.Time
 }
 
 // RestoreFleet restores the fleet that the previous owner recorded. A VM whose runs the
-// record lists exactly is restored as silent with these runs. Every other VM gates its
-// pool until it has answered, or until all leases that it was granted have expired.
+// record lists exactly is restored as silent with these runs. Every other VM gets a gate
+// until it has answered, or until all leases that it was granted have expired.
 //
 // The record was made before recordedBefore, and maxLease is the longest time that a
 // VM may continue its runs from then on.
@@ -34,6 +36,7 @@
 	for _, r := range f.Retired {
 		c.retired[r.ID] = retirement{born: r.Born, at: recordedBefore.Add(min(r.Left, retiredGracePeriod) - retiredGracePeriod)}
 	}
+	c.restoreQueues(f.Queues)
 	defer c.allPlacesChanged()
 	for _, place := range f.VMs {
 		// The start time was read from JSON, which changes its location. Start times are
@@ -45,7 +48,7 @@
 		}
 		v.lastMachine = cmp.Or(v.lastMachine, place.Machine)
 		if !place.Exact {
-			c.gates[place.ID] = &gate{pool: place.Pool, until: until}
+			c.gates[place.ID] = &gate{pools: poolSetOf(place.Pools), until: until}
 			continue
 		}
 		v.silent, v.noRenewal = true, true
@@ -90,18 +93,37 @@
 	c.restoredRuns = nil
 }
 
-// gated reports whether a VM of the pool has not answered the new owner yet, so that it
-// may still run tasks of jobs from earlier epochs. It removes gates that have timed out.
-func (c *Core) gated(pool string, now time.Time) bool {
+// gatedPools returns the pools whose tasks may run on VMs that have not answered the new owner
+// yet. It removes gates that have timed out.
+func (c *Core) gatedPools(now time.Time) poolSet {
+	var out poolSet
 	for id, g := range c.gates {
 		if now.After(g.until) {
-			c.config.Log.Warn("VM did not answer the new owner before its leases expired; its pool stops waiting for it", "vm", id)
+			c.config.Log.Warn("VM did not answer the new owner before its leases expired; jobs stop waiting for it", "vm", id)
 			delete(c.gates, id)
 			continue
 		}
-		if g.pool == pool {
-			return true
-		}
+		out = out.union(g.pools)
+	}
+	return out
+}
+
+// gated reports whether tasks of a stage may run on a VM that has not answered the new owner
+// yet. Its tasks wait unless the step allows copies.
+func (c *Core) gated(s *stage, gatedPools poolSet) bool {
+	tj := s.trackedJob
+	return tj.Epoch < c.epoch && !s.step.Speculative && tj.queue.pools.overlaps(gatedPools)
+}
+
+// endGate removes the gate of a VM whose runs are known. If its record says that tasks of other
+// pools may run there, it is written anew.
+func (c *Core) endGate(v *vm) {
+	g := c.gates[v.ID]
+	if g == nil {
+		return
+	}
+	delete(c.gates, v.ID)
+	if !g.pools.equal(poolSet{names: []string{v.Pool}}) {
+		c.placeChanged(v.ID)
 	}
-	return false
 }
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -131,6 +131,7 @@
 	for n := range schedule.FleetParts {
 		fleet.VMs = append(fleet.VMs, h.recordedParts[n].VMs...)
 		fleet.Retired = append(fleet.Retired, h.recordedParts[n].Retired...)
+		fleet.Queues = append(fleet.Queues, h.recordedParts[n].Queues...)
 	}
 	h.core.RestoreFleet(fleet, h.now, 6500*time.Millisecond)
 	for id, data := range h.records {
@@ -167,10 +168,13 @@
 	return 0
 }
 
+// submit hands in a job, which is recorded with its queue.
 func (h *harness) submit(j *job.Job) {
 	j.Accepted, j.Epoch = h.now, h.epoch
 	h.jobs[j.ID] = j
 	h.records[j.ID] = nil
+	h.core.Admit(j, h.now)
+	h.writeRecords()
 	h.core.Add(j, job.NewState(j), h.now)
 }
 
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -37,9 +37,11 @@
 			c.planMoves(now)
 		}
 	}
+	gatedPools := c.gatedPools(now)
+	c.leavePools(now)
 	pools := c.sortedPools()
 	for i := range pools {
-		c.planPool(pools[(i+c.firstPool)%len(pools)], now)
+		c.planPool(pools[(i+c.firstPool)%len(pools)], gatedPools, now)
 	}
 	// Each pool gets its turn when few starts may be in flight.
 	c.firstPool++
@@ -113,23 +115,21 @@
 // StartsLimited reports whether no other start order may be given until one is answered.
 func (c *Core) StartsLimited() bool { return !c.mayStart() }
 
-// planPool starts waiting tasks of one pool, the most important first.
-func (c *Core) planPool(p *pool, now time.Time) {
+// planPool starts waiting tasks of one pool, the most important first. gatedPools are those
+// whose tasks may run on VMs that have not answered yet.
+func (c *Core) planPool(p *pool, gatedPools poolSet, now time.Time) {
 	stages := c.rankedBacklog(p, now)
 	if len(stages) == 0 {
 		return
 	}
 	usable := c.usableVMs(p, now)
-	gated := c.gated(p.name, now)
 	room := largestRoom(usable)
 	var notFitting []job.Resources
 	for _, s := range stages {
 		if !c.mayStart() {
 			return
 		}
-		// A task of a job from an earlier epoch may still run on a VM that has not reported
-		// to this owner yet. The task waits unless its step allows copies.
-		if gated && s.trackedJob.Epoch < c.epoch && !s.step.Speculative {
+		if c.gated(s, gatedPools) || !c.mayStartIn(s.trackedJob.queue, p) {
 			continue
 		}
 		// A VM may be kept free for a suspect although other tasks fit nowhere.
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -63,8 +63,9 @@
 // have room for it.
 func (c *Core) startCopy(t *task, now time.Time) {
 	s := t.stage
-	vms := c.usableVMs(c.poolOf(s.trackedJob), now)
-	if !c.withinCap(s, 1) {
+	p := c.poolOf(s.trackedJob)
+	vms := c.usableVMs(p, now)
+	if !c.withinCap(s, 1) || !c.mayStartIn(s.trackedJob.queue, p) {
 		return
 	}
 	if v := c.chooseVM(t, vms, now); v != nil && v != t.runs[0].vm {
--- /dev/null
+++ b/schedule/queue.go
@@ -0,0 +1,211 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// poolSet is a set of pools. The zero value is empty.
+type poolSet struct {
+	// all is set if it is not known which pools belong to the set, so that it holds every one.
+	all bool
+	// names lists the pools in sorted order; nil if all is set.
+	names []string
+}
+
+// poolSetOf returns the set with a record, in which nil stands for all pools.
+func poolSetOf(record []string) poolSet {
+	if record == nil {
+		return poolSet{all: true}
+	}
+	return poolSet{names: slices.Sorted(slices.Values(record))}
+}
+
+func (s poolSet) has(pool string) bool { return s.all || slices.Contains(s.names, pool) }
+
+// add adds a pool and reports whether it is new.
+func (s *poolSet) add(pool string) bool {
+	if s.has(pool) {
+		return false
+	}
+	s.names = slices.Insert(slices.Clone(s.names), s.rank(pool), pool)
+	return true
+}
+
+// rank returns the index at which a pool is or would be in the sorted names.
+func (s poolSet) rank(pool string) int {
+	i, _ := slices.BinarySearch(s.names, pool)
+	return i
+}
+
+// union returns the pools that are in either set.
+func (s poolSet) union(o poolSet) poolSet {
+	if s.all || o.all {
+		return poolSet{all: true}
+	}
+	for _, name := range o.names {
+		s.add(name)
+	}
+	return s
+}
+
+// intersection returns the pools that are in both sets.
+func (s poolSet) intersection(o poolSet) poolSet {
+	switch {
+	case s.all:
+		return o
+	case o.all:
+		return s
+	}
+	return poolSet{names: slices.DeleteFunc(slices.Clone(s.names), func(name string) bool { return !o.has(name) })}
+}
+
+func (s poolSet) equal(o poolSet) bool { return s.all == o.all && slices.Equal(s.names, o.names) }
+
+func (s poolSet) overlaps(o poolSet) bool {
+	if s.all {
+		return o.all || len(o.names) > 0
+	}
+	return slices.ContainsFunc(s.names, o.has)
+}
+
+// record returns the form of a set that is not empty in a record.
+func (s poolSet) record() []string {
+	if s.all {
+		return nil
+	}
+	return s.names
+}
+
+// queue is what the core knows of a queue on behalf of its accepted jobs.
+type queue struct {
+	name string
+	// pools holds the pools in which runs of the queue's jobs may exist.
+	pools poolSet
+	// recorded holds those that the record of the fleet lists, and will list whatever becomes
+	// of the commit in flight.
+	recorded poolSet
+}
+
+// QueueRecord is the record of a queue that has accepted jobs.
+type QueueRecord struct {
+	Name string `json:"name"`
+	// Pools lists the pools in which tasks of the queue's jobs may have been started; nil
+	// means that it is not known which.
+	Pools []string `json:"pools,omitempty"`
+}
+
+// queue returns what is known of a queue. It begins to keep track of the queue if necessary;
+// jobs that were accepted earlier may then have runs in any pool.
+func (c *Core) queue(name string, earlierJobs bool) *queue {
+	q := c.queues[name]
+	if q == nil {
+		q = &queue{name: name, pools: poolSet{all: earlierJobs}}
+		c.queues[name] = q
+		c.queueChanged(q)
+	}
+	c.enterPool(q)
+	return q
+}
+
+// enterPool notes that tasks of a queue may soon start in the pool to which the configuration
+// sends it.
+func (c *Core) enterPool(q *queue) {
+	configured, ok := c.view.Queues[q.name]
+	if ok && q.pools.add(configured.Pool) {
+		c.queueChanged(q)
+	}
+}
+
+// queueChanged marks the record of a queue as out of date. Starts wait for it, so that it is
+// recorded before other changes.
+func (c *Core) queueChanged(q *queue) { c.changedParts[partOf(q.name)] = 0 }
+
+// restoreQueues restores the queues that the previous owner recorded.
+func (c *Core) restoreQueues(records []QueueRecord) {
+	for _, r := range records {
+		pools := poolSetOf(r.Pools)
+		c.queues[r.Name] = &queue{name: r.Name, pools: pools, recorded: pools}
+	}
+}
+
+// takeQueues adds the records of the queues to the parts of a batch. index holds the index of
+// each part in parts, by number.
+func (c *Core) takeQueues(parts []FleetPart, index map[int]int) {
+	for _, q := range c.queues {
+		if i, ok := index[partOf(q.name)]; ok {
+			parts[i].Queues = append(parts[i].Queues, QueueRecord{Name: q.name, Pools: q.pools.record()})
+			q.recorded = q.recorded.intersection(q.pools)
+		}
+	}
+	for _, part := range parts {
+		slices.SortFunc(part.Queues, func(a, b QueueRecord) int { return cmp.Compare(a.Name, b.Name) })
+	}
+}
+
+// queuesCommitted handles the queues of a part that was committed. The record of a VM may now
+// say where its runs are.
+func (c *Core) queuesCommitted(records []QueueRecord) {
+	for _, r := range records {
+		if q := c.queues[r.Name]; q != nil {
+			q.recorded = poolSetOf(r.Pools)
+		}
+	}
+	if len(records) == 0 {
+		return
+	}
+	for id, v := range c.vms {
+		if v.runsUnrecorded {
+			v.runsUnrecorded = false
+			c.placeChanged(id)
+		}
+	}
+}
+
+// mayStartIn reports whether tasks of a queue may start in a pool: only once the record of the
+// queue lists the pool, by which the next owner knows where to expect runs.
+func (c *Core) mayStartIn(q *queue, p *pool) bool {
+	if q.pools.add(p.name) {
+		c.queueChanged(q)
+	}
+	return q.recorded.has(p.name)
+}
+
+// poolReviewInterval is the least time between two searches for pools that queues have left.
+const poolReviewInterval = time.Second
+
+// leavePools drops the pools in which no run of a queue's jobs exists any more. While there
+// are gates, not all runs are known.
+func (c *Core) leavePools(now time.Time) {
+	if len(c.gates) > 0 || now.Sub(c.poolsReviewedAt) < poolReviewInterval {
+		return
+	}
+	c.poolsReviewedAt = now
+	several := func(q *queue) bool { return q.pools.all || len(q.pools.names) > 1 }
+	needed := make(map[*queue]*poolSet)
+	for _, q := range c.queues {
+		if several(q) {
+			needed[q] = &poolSet{}
+		}
+	}
+	if len(needed) == 0 {
+		return
+	}
+	for _, v := range c.vms {
+		for _, r := range v.runs {
+			if pools := needed[r.task.stage.trackedJob.queue]; pools != nil {
+				pools.add(r.pool)
+			}
+		}
+	}
+	for q, pools := range needed {
+		if configured, ok := c.view.Queues[q.name]; ok {
+			pools.add(configured.Pool)
+		}
+		if len(pools.names) > 0 && !pools.equal(q.pools) {
+			q.pools = *pools
+			c.queueChanged(q)
+		}
+	}
+}
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -206,9 +206,10 @@
 		c.handOverRecorded = r.Fleet.HandedOver
 	}
 	for _, part := range r.Parts {
+		c.queuesCommitted(part.Queues)
 		for _, place := range part.VMs {
 			if v := c.vms[place.ID]; v != nil {
-				v.recorded = !place.Exact && !v.silent
+				v.recorded = !place.Exact && !v.silent && poolSetOf(place.Pools).has(v.Pool)
 				v.noRenewal = place.Exact
 			}
 		}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -29,9 +29,11 @@
 
 // run is one start of a task, from the order to its end.
 type run struct {
-	id    Run
-	task  *task
-	vm    *vm
+	id   Run
+	task *task
+	vm   *vm
+	// pool is the pool of the VM when the run was started, or when this owner took it over.
+	pool  string
 	fence int64
 	state runState
 	// startSentAt is when the start order was given, or when this owner took over the
@@ -153,7 +155,7 @@
 // team is charged for it.
 func (c *Core) newRun(t *task, v *vm, runNumber int, now time.Time) *run {
 	r := &run{
-		id: Run{t.id, runNumber}, task: t, vm: v, fence: v.fence(c.epoch), startSentAt: now,
+		id: Run{t.id, runNumber}, task: t, vm: v, pool: v.Pool, fence: v.fence(c.epoch), startSentAt: now,
 		need: t.stage.step.Need, charged: t.stage.step.Need, pace: fullPacePercent,
 	}
 	if t.stage.step.Filler {
@@ -168,6 +170,9 @@
 	v.used = v.used.Plus(r.need)
 	jobTeam := c.team(t.stage.trackedJob.Team)
 	jobTeam.used = jobTeam.used.Plus(r.charged)
+	if q := t.stage.trackedJob.queue; q != nil && q.pools.add(r.pool) {
+		c.queueChanged(q)
+	}
 	return r
 }
 
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -110,8 +110,11 @@
 	// not be renewed.
 	noRenewal bool
 	// recorded is set while the recorded fleet lists the VM as not exact, so that the
-	// next owner expects any runs there. Only then may the VM get tasks.
+	// next owner expects any runs of its pool there. Only then may the VM get tasks.
 	recorded bool
+	// runsUnrecorded is set if the record of the VM says that tasks of any pool may run there,
+	// because the record of a queue lacked the pool of a run.
+	runsUnrecorded bool
 	// pastProcessStarts holds the start times of the VM's earlier processes, whose late
 	// reports are ignored.
 	pastProcessStarts map[time.Time]bool
@@ -210,6 +213,9 @@
 	if v.Pool != listed.Pool {
 		c.pool(v.Pool).remove(v)
 		c.pool(listed.Pool).add(v)
+		// The next owner does not expect tasks of the new pool there until that is recorded.
+		v.recorded = false
+		c.placeChanged(v.ID)
 	}
 	if v.isNewProcess(listed.Born) {
 		// The listed entry of the earlier process tells whether it was about to leave.
@@ -496,7 +502,7 @@
 	if !v.attached {
 		v.attached = true
 		v.idleSince = now
-		delete(c.gates, v.ID)
+		c.endGate(v)
 		c.config.Log.Info("VM attached", "vm", v.ID, "fence", h.Fence, "running", len(report.Running))
 		c.requestHold(v)
 	}
