Shut out other stages only by a refusal for room on every usable VM

Cause: planPool noted the need of a stage as one that fits on no VM whenever planStage returned false, but for a list of exceptions. A stage without tickets is tried on no VM at all, and was not among them. Its job also counted as blocked, which brings machines into a pool with idle VMs.

Change: planStage returns what kept the tasks from starting, as a sealed type: no room on any usable VM, none of the VMs fit, or something other than a VM. Only the first shuts out others; the last doesn't count as blocked.

Advice, on the same path: what the service says of a step and a VM is kept for the life of the VM's process. Copies of stalled tasks start on allowed VMs only, and a service task is stopped for maintenance only if an allowed VM has room. A filler was shut out by the processors of a large task, which it doesn't need.

--- a/owner/orders.go
+++ b/owner/orders.go
@@ -129,6 +129,8 @@
 	tickets, valid, err := o.config.Advisor.Advise(ctx, a)
 	if err != nil {
 		o.config.Log.Warn("failed to get advice", "job", a.Stage.Job, "step", a.Stage.Step, "error", err)
+		o.updateCore(core, func(now time.Time) { core.AdviceFailed(a, now) })
+		return
 	}
-	o.updateCore(core, func(now time.Time) { core.Advised(a.Stage, tickets, valid, now) })
+	o.updateCore(core, func(now time.Time) { core.Advised(a, tickets, valid, now) })
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -93,6 +93,8 @@
 	// when their pools were last reviewed.
 	queues          map[string]*queue
 	poolsReviewedAt time.Time
+	// adviceRequests holds when each request for advice without an answer was given.
+	adviceRequests map[job.Stage]time.Time
 	// dirty holds the jobs whose state has changed since [Core.TakeRecords] last took
 	// it.
 	dirty map[job.ID]*trackedJob
@@ -262,7 +264,7 @@
 	// blockedSince is the time since which a waiting task has fitted on no VM; zero if
 	// the last attempt to place one did not fail for that reason.
 	blockedSince time.Time
-	// advice is the last answer of the advice service about the stage.
+	// advice is what the advice service has said about the stage.
 	advice advice
 }
 
@@ -309,22 +311,24 @@
 // New returns a core without jobs and VMs.
 func New(c Config) *Core {
 	return &Core{
-		config:   c,
-		epoch:    c.Epoch,
-		vms:      make(map[string]*vm),
-		pools:    make(map[string]*pool),
-		jobs:     make(map[job.ID]*trackedJob),
-		active:   make(map[job.ID]*trackedJob),
-		teams:    make(map[string]*team),
-		gates:    make(map[string]*gate),
-		queues:   make(map[string]*queue),
-		retired:  make(map[string]retirement),
-		averages: make(map[string]*queueAverages),
-		dirty:    make(map[job.ID]*trackedJob),
-		machines: make(map[string]Machine),
-		waves:    make(map[int64]*wave),
-		moves:    make(map[string]*move),
-		cordoned: make(map[string]bool),
+		config: c,
+		epoch:  c.Epoch,
+		vms:    make(map[string]*vm),
+		pools:  make(map[string]*pool),
+		jobs:   make(map[job.ID]*trackedJob),
+		active: make(map[job.ID]*trackedJob),
+		teams:  make(map[string]*team),
+		gates:  make(map[string]*gate),
+		queues: make(map[string]*queue),
+
+		adviceRequests: make(map[job.Stage]time.Time),
+		retired:        make(map[string]retirement),
+		averages:       make(map[string]*queueAverages),
+		dirty:          make(map[job.ID]*trackedJob),
+		machines:       make(map[string]Machine),
+		waves:          make(map[int64]*wave),
+		moves:          make(map[string]*move),
+		cordoned:       make(map[string]bool),
 
 		lastCrash:       make(map[string]*vmCrash),
 		machineOrders:   make(map[string]time.Time),
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -40,8 +40,13 @@
 	view       schedule.View
 	moved      []schedule.Move
 	paces      []int
-	// advice holds the tickets that the advice service gives, by VM.
-	advice map[string]string
+	// advice holds the tickets that the advice service gives, by VM. adviceAsked lists the
+	// requests to it, which it does not answer while adviceSilent is set. adviceOf holds other
+	// tickets for single jobs.
+	advice       map[string]string
+	adviceOf     map[job.ID]map[string]string
+	adviceAsked  []schedule.Advise
+	adviceSilent bool
 	// machineOrderGap and lateMachineOrders are those of the configuration of the owners
 	// that follow.
 	machineOrderGap, lateMachineOrders time.Duration
@@ -68,7 +73,7 @@
 	h := &harness{
 		t: t, now: time.Unix(1_700_000_000, 0), vms: make(map[string]*standin.Worker), jobs: make(map[job.ID]*job.Job),
 		records: make(map[job.ID][]byte), recordedParts: make(map[int]schedule.FleetPart), workTime: time.Second, checker: standin.NewChecker(),
-		deadly: make(map[job.Task]time.Duration), gone: make(map[string]bool),
+		adviceOf: make(map[job.ID]map[string]string), deadly: make(map[job.Task]time.Duration), gone: make(map[string]bool),
 	}
 	h.view = schedule.View{
 		Queues: map[string]schedule.Queue{
@@ -328,12 +333,32 @@
 			h.paces = append(h.paces, a.Percent)
 			h.core.Paced(a, schedule.Accepted, h.now)
 		case schedule.Advise:
-			h.core.Advised(a.Stage, h.advice, 3*time.Second, h.now)
+			h.answerAdvice(a)
 		case schedule.ImmediateHold:
 		}
 	}
 }
 
+// answerAdvice answers a request for advice with the tickets in h.advice, out of those for the
+// VMs that it names.
+func (h *harness) answerAdvice(a schedule.Advise) {
+	h.adviceAsked = append(h.adviceAsked, a)
+	if h.adviceSilent {
+		return
+	}
+	given, ok := h.adviceOf[a.Stage.Job]
+	if !ok {
+		given = h.advice
+	}
+	tickets := make(map[string]string)
+	for _, id := range a.VMs {
+		if ticket := given[id]; ticket != "" {
+			tickets[id] = ticket
+		}
+	}
+	h.core.Advised(a, tickets, 3*time.Second, h.now)
+}
+
 // orderMachine returns the platform's answer to an order for a machine. It fails the test if
 // the order ends runs.
 func (h *harness) orderMachine(machine string) schedule.MachineResult {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -18,12 +18,16 @@
 }
 
 // chooseVM returns the VM with the lowest cost for a task, or nil if the task fits
-// on none.
-func (c *Core) chooseVM(t *task, vms []*vm, now time.Time) *vm {
-	var best *vm
+// on none. It also reports whether a VM has room for the task, even if it does not fit there
+// for another reason.
+func (c *Core) chooseVM(t *task, vms []*vm, now time.Time) (best *vm, room bool) {
 	var bestCost float64
 	for _, v := range vms {
-		if c.closedForTrial(v, now) || !c.fits(t.stage, v) {
+		if c.closedForTrial(v, now) || !v.hasRoom(t.stage) {
+			continue
+		}
+		room = true
+		if !v.suits(t.stage) {
 			continue
 		}
 		cost := c.cost(t, v)
@@ -31,15 +35,18 @@
 			best, bestCost = v, cost
 		}
 	}
-	return best
+	return best, room
 }
 
-// fits reports whether one more task of a stage may run on a VM: the VM has the capacity
-// and the label, and no more tasks of the stage than its MaxPerVM.
-func (c *Core) fits(s *stage, v *vm) bool {
-	if !v.used.Plus(s.need()).Within(v.Capacity) {
-		return false
-	}
+// fits reports whether one more task of a stage may run on a VM.
+func (v *vm) fits(s *stage) bool { return v.hasRoom(s) && v.suits(s) }
+
+// hasRoom reports whether the VM has the capacity for one more task of a stage.
+func (v *vm) hasRoom(s *stage) bool { return v.used.Plus(s.need()).Within(v.Capacity) }
+
+// suits reports whether the VM has the label that a stage requires, and fewer tasks of the
+// stage than its MaxPerVM.
+func (v *vm) suits(s *stage) bool {
 	if s.step.Label != "" && !slices.Contains(v.Labels, s.step.Label) {
 		return false
 	}
@@ -100,23 +107,22 @@
 	return sum + v.maintenanceCost(t.stage.step.Service)
 }
 
-// planGang starts all tasks of a gang at once, or none. It returns false if the VMs or
-// the team's cap have no room for the gang. It starts nothing and returns true if one of
-// the tasks is done, has a run or is in its backoff.
-func (c *Core) planGang(s *stage, vms []*vm, now time.Time) bool {
+// planGang starts all tasks of a gang at once, or none. If one of the tasks is done, has a
+// run or is in its backoff, no task may start now.
+func (c *Core) planGang(s *stage, vms []*vm, now time.Time) placement {
 	runNumber := 0
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || now.Before(t.notBefore) || t.underVerdict {
-			return true
+			return placed{}
 		}
 		runNumber = max(runNumber, t.runNumber)
 	}
 	if !c.withinCap(s, int64(len(s.tasks))) {
-		return false
+		return postponed{}
 	}
 	places := c.placeGang(s, c.gangVMs(s, vms, now))
 	if places == nil {
-		return false
+		return unplaced{}
 	}
 	checkpoint := s.tasks[0].checkpoint
 	for i, t := range s.tasks {
@@ -128,7 +134,7 @@
 			c.beginTrial(s.tasks[0], v, now)
 		}
 	}
-	return true
+	return placed{}
 }
 
 // placeGang returns a VM for each task of a gang, or nil if they do not all fit. For a
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -132,28 +132,48 @@
 		if c.gated(s, gatedPools) || !c.mayStartIn(s.trackedJob.queue, p) {
 			continue
 		}
-		// A VM may be kept free for a suspect although other tasks fit nowhere.
-		if !s.trackedJob.state.HasCrashes() && tooLarge(s.step.Need, notFitting) {
+		// A VM may be kept free for a suspect although other tasks fit nowhere, and advice is
+		// requested for the time when a VM has room.
+		arranges := s.trackedJob.state.HasCrashes() || c.advised(s)
+		if !arranges && tooLarge(s.need(), notFitting) {
 			continue
 		}
-		if !s.need().Within(room) && c.needsOnlyRoom(s) {
+		if !arranges && !s.step.Gang && !s.need().Within(room) && c.withinCap(s, 1) {
 			if s.blockedSince.IsZero() && s.hasStartableTask(now) {
 				s.block(now)
 			}
 			continue
 		}
-		if !c.planStage(s, usable, now) && !s.constrained() && c.withinCap(s, 1) {
+		switch c.planStage(s, usable, now).(type) {
+		case noRoom:
 			notFitting = append(notFitting, s.need())
 			room = largestRoom(usable)
+		case placed, unplaced, postponed:
 		}
 	}
 }
 
-// needsOnlyRoom reports whether a stage could start a task now if a VM had room for it, and
-// has nothing to arrange while none has.
-func (c *Core) needsOnlyRoom(s *stage) bool {
-	return !s.constrained() && !s.trackedJob.state.HasCrashes() && !c.view.Queues[s.trackedJob.Queue].Advised && c.withinCap(s, 1)
-}
+// placement is the result of an attempt to start the waiting tasks of a stage.
+type placement interface{ isPlacement() }
+
+// placed means that all tasks were started that may start now.
+type placed struct{}
+
+// noRoom means that no usable VM has room for a task, so that no VM has room for another
+// task that needs at least as much either.
+type noRoom struct{}
+
+// unplaced means that a task fits on none of the VMs on which it may run. A task that needs as
+// much may still fit elsewhere.
+type unplaced struct{}
+
+// postponed means that a task waits for something other than a VM.
+type postponed struct{}
+
+func (placed) isPlacement()    {}
+func (noRoom) isPlacement()    {}
+func (unplaced) isPlacement()  {}
+func (postponed) isPlacement() {}
 
 // hasStartableTask reports whether a task of the stage waits for nothing but a VM.
 func (s *stage) hasStartableTask(now time.Time) bool {
@@ -196,13 +216,6 @@
 	return need
 }
 
-// constrained reports whether the placement of the stage's tasks depends on more than
-// their need. If such a task fits on no VM, another task with the same need may still fit.
-func (s *stage) constrained() bool {
-	step := s.step
-	return len(s.advice.tickets) > 0 || step.MaxPerVM > 0 || step.Label != "" || step.Gang || step.SingleRack || step.Filler
-}
-
 // usableVMs returns the VMs of a pool on which tasks may start. The result is valid
 // until the next call for the same pool.
 func (c *Core) usableVMs(p *pool, now time.Time) []*vm {
@@ -240,23 +253,41 @@
 		!v.pastProcessStarts[v.Born] && !c.view.CentresOut[v.Centre] && v.health.allowsStarts(now)
 }
 
-// planStage starts the waiting tasks of a stage, and reports whether all of them that may
-// start now were started.
-func (c *Core) planStage(s *stage, vms []*vm, now time.Time) bool {
-	vms = c.advisedVMs(s, vms, now)
+// planStage starts the waiting tasks of a stage. It requests advice for a stage that lacks it.
+func (c *Core) planStage(s *stage, usable []*vm, now time.Time) placement {
+	permitted := c.permittedVMs(s, usable, now)
+	result := c.placeStage(s, permitted, now)
+	if c.advised(s) {
+		result = c.considerAdvice(s, result, usable, now)
+	}
+	switch result.(type) {
+	case noRoom:
+		s.block(now)
+	case unplaced:
+		if !s.step.Gang && len(c.allowedVMs(s, usable)) > 0 {
+			s.block(now)
+		} else {
+			s.blockedSince = time.Time{}
+		}
+	case placed, postponed:
+		s.blockedSince = time.Time{}
+	}
+	return result
+}
+
+// placeStage starts the waiting tasks of a stage on the given VMs.
+func (c *Core) placeStage(s *stage, vms []*vm, now time.Time) placement {
 	if s.step.Gang {
 		return c.planGang(s, vms, now)
 	}
-	blockedSince := s.blockedSince
-	s.blockedSince = time.Time{}
-	placed := 0
+	started := 0
 	// noTrial is set, by whether the trial is long, once no VM was found for a suspect. None is
 	// found for the others of the stage either.
 	noTrial := make(map[bool]bool)
 	defer func() {
-		if placed > 0 {
+		if started > 0 {
 			c.config.Log.Info("tasks placed", "job", s.id.Job, "occurrence", s.id.Occurrence, "step", s.id.Step,
-				"count", placed, "left", s.waitingTasks, "rank", s.rank, "age", now.Sub(s.due).Milliseconds(),
+				"count", started, "left", s.waitingTasks, "rank", s.rank, "age", now.Sub(s.due).Milliseconds(),
 				"vms", len(vms), "version", c.view.Version)
 		}
 	}()
@@ -265,7 +296,7 @@
 			continue
 		}
 		if !c.withinCap(s, 1) || !c.mayStart() {
-			return false
+			return postponed{}
 		}
 		if c.isSuspect(t) {
 			long := t.needsLongTrial()
@@ -279,19 +310,20 @@
 			}
 			c.startRun(t, v, t.runNumber+1, now)
 			c.beginTrial(t, v, now)
-			placed++
+			started++
 			continue
 		}
-		v := c.chooseVM(t, vms, now)
-		if v == nil {
-			s.blockedSince = blockedSince
-			s.block(now)
-			return false
+		v, room := c.chooseVM(t, vms, now)
+		switch {
+		case v == nil && room:
+			return unplaced{}
+		case v == nil:
+			return noRoom{}
 		}
 		c.startRun(t, v, t.runNumber+1, now)
-		placed++
+		started++
 	}
-	return true
+	return placed{}
 }
 
 // startRun creates a run of a task and orders the VM to start it.
@@ -305,7 +337,7 @@
 	c.startsInFlight++
 	c.actions = append(c.actions, Start{
 		VM: v.ID, Run: r.id, Spec: tj.Spec, Checkpoint: t.checkpoint, Fence: r.fence,
-		Until: v.minClock(now) + startWindow, Ticket: t.stage.advice.tickets[v.ID],
+		Until: v.minClock(now) + startWindow, Ticket: t.stage.advice.answers[v.ID].ticket,
 	})
 	v.extendLease(now, startWindow)
 }
--- a/schedule/progress.go
+++ b/schedule/progress.go
@@ -64,11 +64,11 @@
 func (c *Core) startCopy(t *task, now time.Time) {
 	s := t.stage
 	p := c.poolOf(s.trackedJob)
-	vms := c.usableVMs(p, now)
+	vms := c.permittedVMs(s, c.usableVMs(p, now), now)
 	if !c.withinCap(s, 1) || !c.mayStartIn(s.trackedJob.queue, p) {
 		return
 	}
-	if v := c.chooseVM(t, vms, now); v != nil && v != t.runs[0].vm {
+	if v, _ := c.chooseVM(t, vms, now); v != nil && v != t.runs[0].vm {
 		c.startRun(t, v, t.runNumber+1, now)
 	}
 }
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -417,8 +417,8 @@
 	case Full:
 		v.health.excludeFull(now)
 	case NoTicket:
-		// The tickets are discarded, so that the next plan requests advice again.
-		r.task.stage.advice = advice{}
+		// Another plan requests advice again.
+		r.task.stage.advice.discardTickets()
 	case Refused:
 		r.task.notBefore = now.Add(time.Second)
 	case Accepted, Unanswered, Late:
--- a/schedule/trial.go
+++ b/schedule/trial.go
@@ -47,12 +47,12 @@
 		case v.trial.reservedFor(t):
 			reserved = v
 		default:
-			if c.fits(t.stage, v) && v.trial.joinable() && (joint == nil || len(v.trial.tasks) < len(joint.trial.tasks)) {
+			if v.fits(t.stage) && v.trial.joinable() && (joint == nil || len(v.trial.tasks) < len(joint.trial.tasks)) {
 				joint = v
 			}
 			continue
 		}
-		if c.fits(t.stage, v) && (!alone || v.batchRuns() == 0) && c.betterForTrial(v, best, now) {
+		if v.fits(t.stage) && (!alone || v.batchRuns() == 0) && c.betterForTrial(v, best, now) {
 			best = v
 		}
 		if c.couldFit(t.stage, v) && c.betterForTrial(v, candidate, now) {
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -269,9 +269,11 @@
 // are stopped even if no other VM has room for them yet.
 const forcedStopFraction = 0.6
 
-// placeable reports whether a task would fit on a usable VM now.
+// placeable reports whether a task would fit on a usable VM now, one that the advice service
+// has allowed if its queue is advised.
 func (c *Core) placeable(t *task, now time.Time) bool {
-	return c.chooseVM(t, c.usableVMs(c.poolOf(t.stage.trackedJob), now), now) != nil
+	v, _ := c.chooseVM(t, c.allowedVMs(t.stage, c.usableVMs(c.poolOf(t.stage.trackedJob), now)), now)
+	return v != nil
 }
 
 // drainTimeout returns how long a VM of a wave may take to finish its tasks. A wave handles
