Go on with accepted jobs under what their queue was when it last existed

Cause: the core read the queue of a job from the newest configuration in ten places, and took the zero value for a missing queue: no pool, one attempt, the most urgent priority, no advice.

Change: the core keeps each queue with accepted jobs as of the newest configuration that has it. Each job refers to its queue, and the settings come together with whether they are known. They are in the record of the queue, so that they survive changes of owner and restarts of all entries. A job is accepted no earlier than its queue is recorded, as a rule in the same commit. A queue that is neither configured nor has jobs is removed from the record after ten minutes. Records of the previous version lack the settings: if the queue is gone too, its jobs neither start nor fail until it is back.

--- a/jobs/owner_test.go
+++ b/jobs/owner_test.go
@@ -14,6 +14,7 @@
 
 	"almondcove/job"
 	"almondcove/owner"
+	"almondcove/schedule"
 	"almondcove/standin"
 	"almondcove/store"
 )
@@ -212,3 +213,25 @@
 		})
 	}
 }
+
+// TestQueueDroppedAfterAcceptance guards against a job that nobody can go on with, because its
+// queue is dropped right after the job was accepted and all entries start again: the queue is
+// recorded no later than the job.
+func TestQueueDroppedAfterAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		s := newSystem(t, 2, 2)
+		defer s.stopAndCheck()
+		time.Sleep(3 * time.Second)
+		g.Expect(s.nodes[0].Submit(t.Context(), s.chain("1", 4)).Outcome).To(gomega.Equal(owner.Done))
+		s.putJSON("conf/view", schedule.View{
+			Version: 2, Teams: map[string]schedule.Team{"team": {Name: "team", Weight: 1}},
+		})
+		for i := range s.nodes {
+			s.restartEntry(i)
+		}
+		time.Sleep(10 * time.Second)
+		g.Expect(s.show(0, "1").Phase).To(gomega.Equal(job.Completed))
+		g.Expect(s.submit(0, "2")).To(gomega.Equal(owner.Refused), "a job on the queue that was dropped")
+	})
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -298,18 +298,12 @@
 	division := divideCommit(ledger.MaxBatchSize-1, [recordKinds]int{
 		newJobs: len(o.commitQueue), changedStates: states, changedParts: parts,
 	})
-	n := division[newJobs]
-	commit.accepted = append(commit.accepted, o.commitQueue[:n]...)
-	o.commitQueue = o.commitQueue[n:]
-	for _, a := range commit.accepted {
-		a.inCommit = true
-		commit.batch.Jobs = append(commit.batch.Jobs, a.job)
-	}
 	var err error
 	commit.recorded, err = o.core.TakeRecords(division[changedStates], division[changedParts], time.Now())
 	if err != nil {
 		return commit, err
 	}
+	o.takeJobs(commit, division[newJobs])
 	for _, r := range commit.recorded.States {
 		commit.batch.States = append(commit.batch.States, ledger.StateRecord{Job: r.Job, Data: r.Data, Final: r.Final()})
 	}
@@ -324,6 +318,22 @@
 	return commit, err
 }
 
+// takeJobs moves at most limit of the jobs in commitQueue to a commit. A job whose queue is not
+// recorded waits for the commit that does. The caller holds o.mu.
+func (o *Owner) takeJobs(commit *pendingCommit, limit int) {
+	var left []*acceptance
+	for _, a := range o.commitQueue {
+		if len(commit.accepted) == limit || !o.core.SettingsRecorded(commit.recorded, a.job) {
+			left = append(left, a)
+			continue
+		}
+		a.inCommit = true
+		commit.accepted = append(commit.accepted, a)
+		commit.batch.Jobs = append(commit.batch.Jobs, a.job)
+	}
+	o.commitQueue = left
+}
+
 // finishCommit handles the result of a commit, unless an election has settled it. If the
 // outcome is not known, the owner stops acting: only the next election tells whether the jobs
 // in the commit exist. The caller holds o.mu.
--- a/schedule/advise.go
+++ b/schedule/advise.go
@@ -58,7 +58,10 @@
 }
 
 // advised reports whether the advice service decides which VMs run a stage.
-func (c *Core) advised(s *stage) bool { return c.view.Queues[s.trackedJob.Queue].Advised }
+func (c *Core) advised(s *stage) bool {
+	q, known := s.trackedJob.queue.settings()
+	return known && q.Advised
+}
 
 // Advised handles the advice service's answer to a request: the tickets of the VMs that may
 // run the stage, by VM id, and how long they are valid. VMs that the request named and that
--- a/schedule/averages.go
+++ b/schedule/averages.go
@@ -78,9 +78,12 @@
 const defaultTaskTime = time.Second
 
 // allowance returns how long after its due time a job may end and still meet the
-// objective of its queue.
+// objective of its queue. It is zero while the objective is not known.
 func (c *Core) allowance(tj *trackedJob) time.Duration {
-	q := c.view.Queues[tj.Queue]
+	q, known := tj.queue.settings()
+	if !known {
+		return 0
+	}
 	chain := float64(c.meanTaskTime(tj.Queue)) * float64(tj.criticalPath)
 	return time.Duration(q.Stretch*chain) + q.Slack
 }
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -89,10 +89,10 @@
 	// gates holds, by VM id, a gate for each VM that may run tasks of the previous
 	// owner and has not yet reported to this one.
 	gates map[string]*gate
-	// queues holds the queues that have or had accepted jobs, by name. poolsReviewedAt is
-	// when their pools were last reviewed.
-	queues          map[string]*queue
-	poolsReviewedAt time.Time
+	// queues holds the queues that have or had accepted jobs, by name. queuesReviewedAt is
+	// when they were last reviewed.
+	queues           map[string]*queue
+	queuesReviewedAt time.Time
 	// adviceRequests holds when each request for advice without an answer was given.
 	adviceRequests map[job.Stage]time.Time
 	// dirty holds the jobs whose state has changed since [Core.TakeRecords] last took
@@ -357,20 +357,24 @@
 func (c *Core) SetView(v View, now time.Time) {
 	c.view = v
 	for _, q := range c.queues {
-		c.enterPool(q)
+		c.configureQueue(q)
 	}
 	c.setWaves(v.Waves, now)
-	c.reassignStages()
+	c.reassignStages(now)
 }
 
-// reassignStages moves stages to the pool of their queue if that has changed, or if
-// the queue was not configured before.
-func (c *Core) reassignStages() {
+// reassignStages moves stages to the pool of their queue if that has changed, or was not known
+// before. A job whose attempts were not known may have used them up.
+func (c *Core) reassignStages(now time.Time) {
 	for _, tj := range c.active {
 		if tj.state.Phase().Final() {
 			continue
 		}
 		p := c.poolOf(tj)
+		if c.pools[unknownPool] != nil && p.name != unknownPool && c.usedUpUnknownAttempts(tj) {
+			c.finishJob(tj, job.Failed, now)
+			continue
+		}
 		for id, s := range tj.stages {
 			if p.stages[id] == s || tj.state.StageDone(id) {
 				continue
@@ -429,9 +433,16 @@
 	return n
 }
 
+// unknownPool is the name of the pool that holds the stages of queues of which no configuration
+// is known. It has no VMs.
+const unknownPool = ""
+
 // poolOf returns the pool of a job's queue.
 func (c *Core) poolOf(tj *trackedJob) *pool {
-	return c.pool(c.view.Queues[tj.Queue].Pool)
+	if q, ok := tj.queue.settings(); ok {
+		return c.pool(q.Pool)
+	}
+	return c.pool(unknownPool)
 }
 
 // pool returns the pool of that name and creates it if necessary.
@@ -466,7 +477,7 @@
 		c.jobs[j.ID] = tj
 		return
 	}
-	tj.queue = c.queue(j.Queue, j.Epoch < c.epoch)
+	tj.queue = c.queue(j.Queue, j.Epoch < c.epoch, now)
 	tj.stages = make(map[job.Stage]*stage)
 	tj.depth = chainLengths(j)
 	tj.criticalPath = slices.Max(tj.depth)
@@ -603,10 +614,10 @@
 
 // Admit reports whether a job may be accepted now: its queue must be configured.
 // If not, Admit also returns how long the caller should wait before it retries.
-func (c *Core) Admit(j *job.Job, _ time.Time) (time.Duration, bool) {
+func (c *Core) Admit(j *job.Job, now time.Time) (time.Duration, bool) {
 	if _, ok := c.view.Queues[j.Queue]; !ok {
 		return time.Second, false
 	}
-	c.queue(j.Queue, false)
+	c.queue(j.Queue, false, now)
 	return 0, true
 }
--- a/schedule/order.go
+++ b/schedule/order.go
@@ -130,12 +130,18 @@
 		return rankService
 	case !s.step.Service && now.Add(c.remainingTime(s)).After(s.objective(c)):
 		return rankMissed
-	case c.view.Queues[s.trackedJob.Queue].Priority == 0:
+	case s.trackedJob.queue.urgent():
 		return rankUrgent
 	}
 	return rankLater
 }
 
+// urgent reports whether the queue is known to be one of the most urgent ones.
+func (q *queue) urgent() bool {
+	s, known := q.settings()
+	return known && s.Priority == 0
+}
+
 // isDue reports whether the stage's due time allows its tasks to start. A stage of a job
 // without set times is always due: its due time is when an entry accepted the job, and
 // that entry's clock may have been ahead of the owner's.
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -38,7 +38,7 @@
 		}
 	}
 	gatedPools := c.gatedPools(now)
-	c.leavePools(now)
+	c.reviewQueues(now)
 	pools := c.sortedPools()
 	for i := range pools {
 		c.planPool(pools[(i+c.firstPool)%len(pools)], gatedPools, now)
@@ -118,6 +118,9 @@
 // planPool starts waiting tasks of one pool, the most important first. gatedPools are those
 // whose tasks may run on VMs that have not answered yet.
 func (c *Core) planPool(p *pool, gatedPools poolSet, now time.Time) {
+	if p.name == unknownPool {
+		return
+	}
 	stages := c.rankedBacklog(p, now)
 	if len(stages) == 0 {
 		return
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"almondcove/job"
 )
 
 // poolSet is a set of pools. The zero value is empty.
@@ -78,9 +80,15 @@
 	return s.names
 }
 
-// queue is what the core knows of a queue on behalf of its accepted jobs.
+// queue is what the core knows of a queue on behalf of its accepted jobs, which go on when the
+// configuration no longer has the queue.
 type queue struct {
 	name string
+	// newest is the queue as of the newest configuration that has it, and recordedQueue as of
+	// its record; nil means that none is known.
+	newest, recordedQueue *Queue
+	// usedAt is when a job of the queue was last admitted or added.
+	usedAt time.Time
 	// pools holds the pools in which runs of the queue's jobs may exist.
 	pools poolSet
 	// recorded holds those that the record of the fleet lists, and will list whatever becomes
@@ -91,6 +99,9 @@
 // QueueRecord is the record of a queue that has accepted jobs.
 type QueueRecord struct {
 	Name string `json:"name"`
+	// Settings is the queue as of the newest configuration that has it; nil means that no
+	// such configuration is known.
+	Settings *Queue `json:"settings,omitempty"`
 	// Pools lists the pools in which tasks of the queue's jobs may have been started; nil
 	// means that it is not known which.
 	Pools []string `json:"pools,omitempty"`
@@ -98,24 +109,42 @@
 
 // queue returns what is known of a queue. It begins to keep track of the queue if necessary;
 // jobs that were accepted earlier may then have runs in any pool.
-func (c *Core) queue(name string, earlierJobs bool) *queue {
+func (c *Core) queue(name string, earlierJobs bool, now time.Time) *queue {
 	q := c.queues[name]
 	if q == nil {
 		q = &queue{name: name, pools: poolSet{all: earlierJobs}}
 		c.queues[name] = q
 		c.queueChanged(q)
 	}
-	c.enterPool(q)
+	q.usedAt = now
+	c.configureQueue(q)
 	return q
 }
 
-// enterPool notes that tasks of a queue may soon start in the pool to which the configuration
-// sends it.
-func (c *Core) enterPool(q *queue) {
+// configureQueue applies the configuration to a queue, if it has the queue. Tasks may then soon
+// start in the pool to which it sends the queue.
+func (c *Core) configureQueue(q *queue) {
 	configured, ok := c.view.Queues[q.name]
-	if ok && q.pools.add(configured.Pool) {
+	if !ok {
+		return
+	}
+	if q.newest == nil || *q.newest != configured {
+		q.newest = &configured
 		c.queueChanged(q)
 	}
+	if q.pools.add(configured.Pool) {
+		c.queueChanged(q)
+	}
+}
+
+// settings returns the queue as of the newest configuration that has it. It reports false if no
+// such configuration is known: the jobs were accepted by an earlier version, which did not
+// record it, and the queue is gone. They wait until it is back.
+func (q *queue) settings() (Queue, bool) {
+	if q.newest == nil {
+		return Queue{}, false
+	}
+	return *q.newest, true
 }
 
 // queueChanged marks the record of a queue as out of date. Starts wait for it, so that it is
@@ -123,10 +152,12 @@
 func (c *Core) queueChanged(q *queue) { c.changedParts[partOf(q.name)] = 0 }
 
 // restoreQueues restores the queues that the previous owner recorded.
-func (c *Core) restoreQueues(records []QueueRecord) {
+func (c *Core) restoreQueues(records []QueueRecord, now time.Time) {
 	for _, r := range records {
 		pools := poolSetOf(r.Pools)
-		c.queues[r.Name] = &queue{name: r.Name, pools: pools, recorded: pools}
+		q := &queue{name: r.Name, newest: r.Settings, recordedQueue: r.Settings, pools: pools, recorded: pools, usedAt: now}
+		c.queues[r.Name] = q
+		c.configureQueue(q)
 	}
 }
 
@@ -135,7 +166,7 @@
 func (c *Core) takeQueues(parts []FleetPart, index map[int]int) {
 	for _, q := range c.queues {
 		if i, ok := index[partOf(q.name)]; ok {
-			parts[i].Queues = append(parts[i].Queues, QueueRecord{Name: q.name, Pools: q.pools.record()})
+			parts[i].Queues = append(parts[i].Queues, QueueRecord{Name: q.name, Settings: q.newest, Pools: q.pools.record()})
 			q.recorded = q.recorded.intersection(q.pools)
 		}
 	}
@@ -149,7 +180,7 @@
 func (c *Core) queuesCommitted(records []QueueRecord) {
 	for _, r := range records {
 		if q := c.queues[r.Name]; q != nil {
-			q.recorded = poolSetOf(r.Pools)
+			q.recorded, q.recordedQueue = poolSetOf(r.Pools), r.Settings
 		}
 	}
 	if len(records) == 0 {
@@ -172,16 +203,70 @@
 	return q.recorded.has(p.name)
 }
 
-// poolReviewInterval is the least time between two searches for pools that queues have left.
-const poolReviewInterval = time.Second
+// SettingsRecorded reports whether the queue of a job is recorded as it is now, or will be with
+// the batch, so that the job can go on under another owner if the queue is removed from the
+// configuration.
+func (c *Core) SettingsRecorded(r RecordBatch, j *job.Job) bool {
+	return c.queueRecorded(j.Queue) || r.hasQueue(j.Queue)
+}
+
+func (c *Core) queueRecorded(name string) bool {
+	q := c.queues[name]
+	return q != nil && q.newest != nil && q.recordedQueue != nil && *q.newest == *q.recordedQueue
+}
+
+func (r RecordBatch) hasQueue(name string) bool {
+	return slices.ContainsFunc(r.Parts, func(p FleetPart) bool {
+		return slices.ContainsFunc(p.Queues, func(q QueueRecord) bool { return q.Name == name })
+	})
+}
+
+const (
+	// queueReviewInterval is the least time between two searches for pools that queues have
+	// left, and for queues that are no longer needed.
+	queueReviewInterval = time.Second
+	// queueRetention is how long a queue that the configuration lacks is kept after the last
+	// of its jobs was admitted. A job that was admitted may be added much later, if its commit
+	// is in doubt.
+	queueRetention = 10 * time.Minute
+)
+
+// reviewQueues drops the pools in which no run of a queue's jobs exists any more, and the queues
+// that are neither configured nor have jobs that have not ended.
+func (c *Core) reviewQueues(now time.Time) {
+	if now.Sub(c.queuesReviewedAt) < queueReviewInterval {
+		return
+	}
+	c.queuesReviewedAt = now
+	c.dropQueues(now)
+	if len(c.gates) == 0 {
+		c.leavePools()
+	}
+}
 
-// leavePools drops the pools in which no run of a queue's jobs exists any more. While there
-// are gates, not all runs are known.
-func (c *Core) leavePools(now time.Time) {
-	if len(c.gates) > 0 || now.Sub(c.poolsReviewedAt) < poolReviewInterval {
+// dropQueues removes the queues that are no longer needed.
+func (c *Core) dropQueues(now time.Time) {
+	unused := make(map[*queue]bool)
+	for name, q := range c.queues {
+		if _, configured := c.view.Queues[name]; !configured && now.Sub(q.usedAt) > queueRetention {
+			unused[q] = true
+		}
+	}
+	if len(unused) == 0 {
 		return
 	}
-	c.poolsReviewedAt = now
+	for _, tj := range c.active {
+		delete(unused, tj.queue)
+	}
+	for q := range unused {
+		delete(c.queues, q.name)
+		c.queueChanged(q)
+	}
+}
+
+// leavePools drops the pools in which no run of a queue's jobs exists any more. All runs must
+// be known.
+func (c *Core) leavePools() {
 	several := func(q *queue) bool { return q.pools.all || len(q.pools.names) > 1 }
 	needed := make(map[*queue]*poolSet)
 	for _, q := range c.queues {
@@ -200,8 +285,8 @@
 		}
 	}
 	for q, pools := range needed {
-		if configured, ok := c.view.Queues[q.name]; ok {
-			pools.add(configured.Pool)
+		if s, ok := q.settings(); ok {
+			pools.add(s.Pool)
 		}
 		if len(pools.names) > 0 && !pools.equal(q.pools) {
 			q.pools = *pools
--- a/schedule/queue_test.go
+++ b/schedule/queue_test.go
@@ -1,6 +1,7 @@
 package schedule_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -195,3 +196,182 @@
 	h.run(8 * time.Second)
 	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
 }
+
+// TestDroppedQueue guards against accepted jobs that stop or fail because their queue is no longer
+// configured: they go on under what the queue was when it last existed, also under the next owner.
+func TestDroppedQueue(t *testing.T) {
+	chain := func() *job.Job {
+		j := batch("1", 2)
+		j.Steps = append(j.Steps, job.Step{Count: 1, Need: job.Resources{CPU: 1000}, After: []int{0}})
+		return j
+	}
+	for _, c := range []struct {
+		name string
+		job  *job.Job
+		// dropped is called after the queue was dropped, while the first tasks run. The job
+		// then has 8 s to reach the phase. For a service, the tasks have to run.
+		dropped func(h *harness)
+		phase   job.Phase
+	}{
+		{name: "next step", job: chain(), dropped: func(*harness) {}, phase: job.Completed},
+		{name: "next step under the next owner", job: chain(), dropped: (*harness).changeOwner, phase: job.Completed},
+		{name: "next step under the owner after that", job: chain(), dropped: func(h *harness) {
+			h.changeOwner()
+			h.run(300 * time.Millisecond)
+			h.changeOwner()
+		}, phase: job.Completed},
+		{name: "one failed run", job: batch("1", 2), dropped: func(h *harness) { h.failOneRun() }, phase: job.Completed},
+		{name: "one failed run under the next owner", job: batch("1", 2), dropped: func(h *harness) {
+			h.changeOwner()
+			h.failOneRun()
+		}, phase: job.Completed},
+		{name: "all runs fail", job: batch("1", 1), dropped: func(h *harness) {
+			for _, v := range h.vms {
+				v.SetRunsFail(true)
+			}
+		}, phase: job.Failed},
+		{name: "VM of a batch task crashes", job: batch("1", 1), dropped: func(h *harness) { h.runsOn("till").Crash(h.now) }, phase: job.Completed},
+		{name: "VM of a service task is lost", job: service("1", 2, 1), dropped: func(h *harness) {
+			v := h.runsOn("till")
+			v.SetDowntime(time.Hour)
+			v.Crash(h.now)
+		}, phase: job.Running},
+		{name: "VM of a service task is lost under the next owner", job: service("1", 2, 1), dropped: func(h *harness) {
+			h.changeOwner()
+			v := h.runsOn("till")
+			v.SetDowntime(time.Hour)
+			v.Crash(h.now)
+		}, phase: job.Running},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h := newHarness(t, 4)
+			q := h.view.Queues["q"]
+			q.Attempts = 3
+			h.view.Queues["q"] = q
+			h.core.SetView(h.view, h.now)
+			h.run(time.Second)
+			h.submit(c.job)
+			h.run(400 * time.Millisecond)
+			h.dropQueue("q")
+			c.dropped(h)
+			h.run(8 * time.Second)
+			g.Expect(phase(h, "1")).To(gomega.Equal(c.phase))
+			if c.job.HasServiceStep() {
+				h.run(5 * time.Second)
+				for i := range c.job.Steps[0].Count {
+					g.Expect(countRuns(h, job.Task{Job: "1", Index: i})).To(gomega.Equal(1))
+				}
+			}
+		})
+	}
+}
+
+// failOneRun lets the runs that exist now end as failed, and later ones succeed.
+func (h *harness) failOneRun() {
+	for _, v := range h.vms {
+		v.SetRunsFail(true)
+	}
+	h.run(700 * time.Millisecond)
+	for _, v := range h.vms {
+		v.SetRunsFail(false)
+	}
+}
+
+// TestDroppedQueueKeepsSettings guards against jobs of a dropped queue that go by what the queue
+// was at some earlier time: the last configuration that has the queue counts, also if it is
+// dropped right after a change and the owner changes.
+func TestDroppedQueueKeepsSettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.addVM("other-0", "other")
+	h.addVM("other-1", "other")
+	h.listVMs()
+	h.run(time.Second)
+	j := batch("1", 1)
+	j.Steps = append(j.Steps, job.Step{Count: 1, Need: job.Resources{CPU: 1000}, After: []int{0}})
+	h.submit(j)
+	h.run(400 * time.Millisecond)
+	h.sendQueue("q", "other")
+	h.run(100 * time.Millisecond)
+	h.dropQueue("q")
+	h.changeOwner()
+	h.starts = nil
+	h.run(5 * time.Second)
+	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
+	g.Expect(h.starts).To(gomega.HaveLen(1))
+	g.Expect(h.vms[h.starts[0].VM].VM.Pool).To(gomega.Equal("other"))
+}
+
+// TestDroppedQueueOfEarlierVersion guards against verdicts by settings that nobody knows: a job
+// of the version before, whose queue was dropped before this version has seen it, waits until
+// the queue is back, and then goes by its attempts.
+func TestDroppedQueueOfEarlierVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		attempts int
+		phase    job.Phase
+	}{
+		{"attempts left", 2, job.Completed},
+		{"attempts used up", 1, job.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			h := newHarness(t, 2)
+			h.run(time.Second)
+			h.submit(batch("1", 1))
+			h.run(400 * time.Millisecond)
+			q := h.view.Queues["q"]
+			h.dropQueue("q")
+			h.run(100 * time.Millisecond)
+			h.recordAsEarlierVersion()
+			h.changeOwner()
+			h.failOneRun()
+			h.run(3 * time.Second)
+			g.Expect(phase(h, "1")).To(gomega.Equal(job.Running))
+			h.changeOwner()
+			h.run(3 * time.Second)
+			g.Expect(phase(h, "1")).To(gomega.Equal(job.Running))
+			q.Attempts = c.attempts
+			h.view.Queues["q"] = q
+			h.core.SetView(h.view, h.now)
+			h.run(3 * time.Second)
+			g.Expect(phase(h, "1")).To(gomega.Equal(c.phase))
+		})
+	}
+}
+
+// TestQueueRecordIsRemoved guards against records of queues that stay for ever after the queues
+// and their jobs are gone.
+func TestQueueRecordIsRemoved(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.run(time.Second)
+	recorded := func() int {
+		n := 0
+		for _, part := range h.recordedParts {
+			n += len(part.Queues)
+		}
+		return n
+	}
+	for i := range 5 {
+		name := fmt.Sprint("short-", i)
+		h.sendQueue(name, "till")
+		j := batch(job.ID(name), 1)
+		j.Queue = name
+		h.submit(j)
+	}
+	h.run(3 * time.Second)
+	h.workTime = 700 * time.Second
+	h.submit(batch("lasting", 1))
+	h.run(time.Second)
+	g.Expect(recorded()).To(gomega.Equal(6))
+	for i := range 5 {
+		h.dropQueue(fmt.Sprint("short-", i))
+	}
+	h.dropQueue("q")
+	h.run(2 * time.Second)
+	g.Expect(recorded()).To(gomega.Equal(6))
+	h.run(11 * time.Minute)
+	g.Expect(recorded()).To(gomega.Equal(1), "the queue of the job that still runs")
+}
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -339,13 +339,40 @@
 	}
 	c.markDirty(tj)
 	failures := tj.state.Failures(counted.id)
-	attempts := max(c.view.Queues[tj.Queue].Attempts, 1)
-	c.config.Log.Info("task failed", "run", Run{t.id, number}, "vm", v.ID, "failures", failures, "attempts", attempts)
-	if failures >= attempts {
+	attempts, known := tj.queue.attempts()
+	c.config.Log.Info("task failed", "run", Run{t.id, number}, "vm", v.ID, "failures", failures, "attempts", attempts, "known", known)
+	if known && failures >= attempts {
 		c.finishJob(tj, job.Failed, now)
 	}
 }
 
+// attempts returns the number of failed runs of one task after which a job of the queue fails,
+// and whether it is known.
+func (q *queue) attempts() (int, bool) {
+	s, known := q.settings()
+	return max(s.Attempts, 1), known
+}
+
+// usedUpUnknownAttempts reports whether a task of a job has failed as often as its queue allows,
+// which was not known when the last of its runs failed.
+func (c *Core) usedUpUnknownAttempts(tj *trackedJob) bool {
+	attempts, known := tj.queue.attempts()
+	if !known {
+		return false
+	}
+	for id, s := range tj.stages {
+		if c.pools[unknownPool].stages[id] != s {
+			continue
+		}
+		for _, t := range s.tasks {
+			if tj.state.Failures(t.id) >= attempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // serviceBackoff is the pause before a failed service task starts again.
 const serviceBackoff = 100 * time.Millisecond
 
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -9,18 +9,18 @@
 
 // Queue is the configuration of a queue.
 type Queue struct {
-	Name string
-	Pool string
+	Name string `json:"name"`
+	Pool string `json:"pool"`
 	// Priority is zero for the most urgent queues.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// Attempts is the number of failed runs of one task after which its job fails.
-	Attempts int
+	Attempts int `json:"attempts"`
 	// Stretch and Slack set the objective for the time from a job's due time to its end:
 	// Stretch times the mean time of its longest chain of dependent tasks, plus Slack.
-	Stretch float64
-	Slack   time.Duration
+	Stretch float64       `json:"stretch,omitempty"`
+	Slack   time.Duration `json:"slack,omitempty"`
 	// Advised is set when the advice service decides which VMs may run a step.
-	Advised bool
+	Advised bool `json:"advised,omitempty"`
 }
 
 // Team is the configuration of a team.
