Keep the cap of a team that the newest configuration lacks

A team that was removed from the configuration ran its accepted jobs without a cap (QUOTA).

Cause: withinCap read the cap from the newest configuration, where a missing team has the zero value, which means no limit.

Change: the core keeps each team with accepted jobs as of the newest configuration that has it, and the record of the fleet holds it, as for queues. A team of which no configuration is known has no cap, as before.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -55,6 +55,7 @@
 		out.VMs = append(out.VMs, part.VMs...)
 		out.Retired = append(out.Retired, part.Retired...)
 		out.Queues = append(out.Queues, part.Queues...)
+		out.Teams = append(out.Teams, part.Teams...)
 	}
 	if len(record.VMs) == 0 || string(record.VMs) == noVMs {
 		return out, nil
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -212,11 +212,6 @@
 	offeredLoad offeredLoad
 }
 
-type team struct {
-	// used is the sum of the resources that the team's runs are charged for.
-	used job.Resources
-}
-
 // trackedJob is a job with its scheduling state.
 type trackedJob struct {
 	*job.Job
@@ -359,6 +354,9 @@
 	for _, q := range c.queues {
 		c.configureQueue(q)
 	}
+	for _, t := range c.teams {
+		c.configureTeam(t)
+	}
 	c.setWaves(v.Waves, now)
 	c.reassignStages(now)
 }
@@ -455,16 +453,6 @@
 	return p
 }
 
-// team returns the team of that name and creates it if necessary.
-func (c *Core) team(name string) *team {
-	t := c.teams[name]
-	if t == nil {
-		t = &team{}
-		c.teams[name] = t
-	}
-	return t
-}
-
 // Add adds a recorded job with its recorded state. It does nothing if the core
 // has the job already.
 func (c *Core) Add(j *job.Job, s *job.State, now time.Time) {
@@ -478,6 +466,7 @@
 		return
 	}
 	tj.queue = c.queue(j.Queue, j.Epoch < c.epoch, now)
+	c.useTeam(j.Team, now)
 	tj.stages = make(map[job.Stage]*stage)
 	tj.depth = chainLengths(j)
 	tj.criticalPath = slices.Max(tj.depth)
@@ -619,5 +608,6 @@
 		return time.Second, false
 	}
 	c.queue(j.Queue, false, now)
+	c.useTeam(j.Team, now)
 	return 0, true
 }
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -22,8 +22,9 @@
 	// Retired lists the VMs whose machines were moved or sent to maintenance, and which the
 	// platform's list may still show.
 	Retired []RetiredVM `json:"-"`
-	// Queues lists the queues that have or had accepted jobs.
+	// Queues and Teams list the queues and the teams that have or had accepted jobs.
 	Queues []QueueRecord `json:"-"`
+	Teams  []TeamRecord  `json:"-"`
 }
 
 // RetiredVM is the record of a VM whose machine was moved or sent to maintenance.
@@ -55,19 +56,20 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// FleetPart is a part of the record of the VMs and the queues. The part of each follows from
+// FleetPart is a part of the record of the VMs, the queues and the teams. The part of each follows from
 // its id or name, so that a change of one rewrites few others.
 type FleetPart struct {
 	Number  int           `json:"number"`
 	VMs     []Place       `json:"vms"`
 	Retired []RetiredVM   `json:"retired,omitempty"`
 	Queues  []QueueRecord `json:"queues,omitempty"`
+	Teams   []TeamRecord  `json:"teams,omitempty"`
 }
 
-// FleetParts is the number of parts of the record of the VMs and the queues.
+// FleetParts is the number of parts of the record of the VMs, the queues and the teams.
 const FleetParts = 32
 
-// partOf returns the number of the part of a VM or a queue.
+// partOf returns the number of the part of a VM, a queue or a team.
 func partOf(name string) int {
 	h := fnv.New32a()
 	// Writing to a hash never fails.
@@ -128,6 +130,7 @@
 		}
 	}
 	c.takeQueues(out, index)
+	c.takeTeams(out, index)
 	for id, r := range c.retired {
 		left := retiredGracePeriod - now.Sub(r.at)
 		if i, ok := index[partOf(id)]; ok && left > 0 {
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -37,6 +37,7 @@
 		c.retired[r.ID] = retirement{born: r.Born, at: recordedBefore.Add(min(r.Left, retiredGracePeriod) - retiredGracePeriod)}
 	}
 	c.restoreQueues(f.Queues, recordedBefore)
+	c.restoreTeams(f.Teams, recordedBefore)
 	defer c.allPlacesChanged()
 	for _, place := range f.VMs {
 		// The start time was read from JSON, which changes its location. Start times are
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -137,6 +137,7 @@
 		fleet.VMs = append(fleet.VMs, h.recordedParts[n].VMs...)
 		fleet.Retired = append(fleet.Retired, h.recordedParts[n].Retired...)
 		fleet.Queues = append(fleet.Queues, h.recordedParts[n].Queues...)
+		fleet.Teams = append(fleet.Teams, h.recordedParts[n].Teams...)
 	}
 	h.core.RestoreFleet(fleet, h.now, 6500*time.Millisecond)
 	for id, data := range h.records {
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -10,8 +10,11 @@
 // withinCap reports whether n more tasks of the stage stay within the cap of its team. A
 // cap of zero means no limit.
 func (c *Core) withinCap(s *stage, n int64) bool {
-	teamCap := c.view.Teams[s.trackedJob.Team].Cap
-	total := c.team(s.trackedJob.Team).used.Plus(s.step.Need.Times(n))
+	t := c.team(s.trackedJob.Team)
+	if t.cap == nil {
+		return true
+	}
+	teamCap, total := *t.cap, t.used.Plus(s.step.Need.Times(n))
 	return (teamCap.CPU == 0 || total.CPU <= teamCap.CPU) &&
 		(teamCap.Memory == 0 || total.Memory <= teamCap.Memory) &&
 		(teamCap.GPU == 0 || total.GPU <= teamCap.GPU)
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -203,11 +203,11 @@
 	return q.recorded.has(p.name)
 }
 
-// SettingsRecorded reports whether the queue of a job is recorded as it is now, or will be with
-// the batch, so that the job can go on under another owner if the queue is removed from the
-// configuration.
+// SettingsRecorded reports whether the queue and the team of a job are recorded as they are now,
+// or will be with the batch, so that the job can go on under another owner if they are removed
+// from the configuration.
 func (c *Core) SettingsRecorded(r RecordBatch, j *job.Job) bool {
-	return c.queueRecorded(j.Queue) || r.hasQueue(j.Queue)
+	return (c.queueRecorded(j.Queue) || r.hasQueue(j.Queue)) && (c.team(j.Team).recorded() || r.hasTeam(j.Team))
 }
 
 func (c *Core) queueRecorded(name string) bool {
@@ -225,10 +225,10 @@
 	// queueReviewInterval is the least time between two searches for pools that queues have
 	// left, and for queues that are no longer needed.
 	queueReviewInterval = time.Second
-	// queueRetention is how long a queue that the configuration lacks is kept after the last
-	// of its jobs was admitted. A job that was admitted may be added much later, if its commit
+	// settingsRetention is how long a queue or a team that the configuration lacks is kept after
+	// the last of its jobs was admitted. A job that was admitted may be added much later, if its commit
 	// is in doubt.
-	queueRetention = 10 * time.Minute
+	settingsRetention = 10 * time.Minute
 )
 
 // reviewQueues drops the pools in which no run of a queue's jobs exists any more, and the queues
@@ -239,6 +239,7 @@
 	}
 	c.queuesReviewedAt = now
 	c.dropQueues(now)
+	c.dropTeams(now)
 	if len(c.gates) == 0 {
 		c.leavePools()
 	}
@@ -248,7 +249,7 @@
 func (c *Core) dropQueues(now time.Time) {
 	unused := make(map[*queue]bool)
 	for name, q := range c.queues {
-		if _, configured := c.view.Queues[name]; !configured && now.Sub(q.usedAt) > queueRetention {
+		if _, configured := c.view.Queues[name]; !configured && now.Sub(q.usedAt) > settingsRetention {
 			unused[q] = true
 		}
 	}
--- a/schedule/queue_test.go
+++ b/schedule/queue_test.go
@@ -29,7 +29,7 @@
 // does not write.
 func (h *harness) recordAsEarlierVersion() {
 	for n, part := range h.recordedParts {
-		part.Queues = nil
+		part.Queues, part.Teams = nil, nil
 		for i := range part.VMs {
 			part.VMs[i].Pools = nil
 		}
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -207,6 +207,7 @@
 	}
 	for _, part := range r.Parts {
 		c.queuesCommitted(part.Queues)
+		c.teamsCommitted(part.Teams)
 		for _, place := range part.VMs {
 			if v := c.vms[place.ID]; v != nil {
 				v.recorded = !place.Exact && !v.silent && poolSetOf(place.Pools).has(v.Pool)
