Count what runs a new owner has not heard of towards the cap of their team

Cause: a new owner counted the runs that it knows. It does not know those on VMs that have not answered yet, nor what the runs of an ended job use that are still being stopped, since only the phase of such a job is recorded.

Change: until a VM has answered, each team is charged for what its earlier jobs may run there: at most what these VMs have, and what the tasks need. The state of a job that ends with runs keeps what these use, so that the next owner counts them, and has them stopped if that was not done. Before, it stopped them as unknown and gave their VM no task meanwhile.

--- a/job/state.go
+++ b/job/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -46,6 +47,9 @@
 	// endedAt is when the job reached its final phase; zero means that this is not
 	// recorded yet.
 	endedAt time.Time
+	// leftover holds, by index, what is kept of the steps of which runs may have outlived the
+	// job.
+	leftover map[int]Step
 }
 
 // Crashes is what is known of the crashes of VMs under a task.
@@ -187,6 +191,25 @@
 	s.endedAt = now
 }
 
+// KeepSteps keeps, of the steps with the given indexes, what their runs use, also when the job
+// has ended and the rest is dropped: their runs may still be stopping.
+func (s *State) KeepSteps(indexes []int) {
+	s.leftover = make(map[int]Step)
+	for _, i := range indexes {
+		step := s.job.Steps[i]
+		s.leftover[i] = Step{Count: step.Count, Need: step.Need, Filler: step.Filler}
+	}
+}
+
+// KeptStep returns what is kept of a step of which runs may have outlived the job.
+func (s *State) KeptStep(index int) (Step, bool) {
+	step, ok := s.leftover[index]
+	return step, ok
+}
+
+// KeptSteps returns what is kept of the steps of which runs may have outlived the job.
+func (s *State) KeptSteps() []Step { return slices.Collect(maps.Values(s.leftover)) }
+
 // MarkCompleted records now as the end time of the job if all tasks are done and no
 // end time is recorded yet.
 func (s *State) MarkCompleted(now time.Time) {
@@ -211,10 +234,10 @@
 	return Pending
 }
 
-// Prune drops everything but the phase, which must be final, and the end time. From
-// then on the state refers to the job j, which may have no steps.
+// Prune drops everything but the phase, which must be final, the end time and the kept steps.
+// From then on the state refers to the job j, which may have no steps.
 func (s *State) Prune(j *Job) {
-	*s = State{job: j, started: true, finalPhase: s.Phase(), endedAt: s.endedAt}
+	*s = State{job: j, started: true, finalPhase: s.Phase(), endedAt: s.endedAt, leftover: s.leftover}
 }
 
 // stateRecord is the stored form of a State. For a job that has ended it holds only
@@ -229,6 +252,16 @@
 	// Queue and Team are those of a job that has ended, whose other record is deleted.
 	Queue string `json:"queue,omitempty"`
 	Team  string `json:"team,omitempty"`
+	// Kept holds the kept steps of a job that has ended.
+	Kept []keptRecord `json:"kept,omitempty"`
+}
+
+// keptRecord is the stored form of a kept step.
+type keptRecord struct {
+	Step   int       `json:"step,omitempty"`
+	Count  int       `json:"count"`
+	Need   Resources `json:"need"`
+	Filler bool      `json:"filler,omitempty"`
 }
 
 // stageRecord is the stored form of the tasks of a stage that are done.
@@ -261,9 +294,14 @@
 // MarshalJSON returns the stored form, which Load reads.
 func (s *State) MarshalJSON() ([]byte, error) {
 	if s.Phase().Final() {
-		return json.Marshal(stateRecord{
+		stored := stateRecord{
 			FinalPhase: s.Phase(), Started: s.started, EndedAt: s.endedAt, Queue: s.job.Queue, Team: s.job.Team,
-		})
+		}
+		for _, i := range slices.Sorted(maps.Keys(s.leftover)) {
+			step := s.leftover[i]
+			stored.Kept = append(stored.Kept, keptRecord{i, step.Count, step.Need, step.Filler})
+		}
+		return json.Marshal(stored)
 	}
 	stored := stateRecord{Started: s.started}
 	for stage, done := range s.done {
@@ -299,6 +337,12 @@
 		loaded.SetCrashes(Task{s.job.ID, c.Occurrence, c.Step, c.Index}, Crashes{c.Count, c.Suspect, c.Total, c.Sure})
 	}
 	loaded.finalPhase, loaded.started, loaded.endedAt = stored.FinalPhase, stored.Started || loaded.started, stored.EndedAt
+	for i, kept := range stored.Kept {
+		if i == 0 {
+			loaded.leftover = make(map[int]Step)
+		}
+		loaded.leftover[kept.Step] = Step{Count: kept.Count, Need: kept.Need, Filler: kept.Filler}
+	}
 	*s = *loaded
 	if stored.Queue != "" {
 		s.job.Queue, s.job.Team = stored.Queue, stored.Team
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -95,6 +95,9 @@
 	queuesReviewedAt time.Time
 	// adviceRequests holds when each request for advice without an answer was given.
 	adviceRequests map[job.Stage]time.Time
+	// endedWithRuns lists the jobs that had ended with runs when the previous owner recorded
+	// them.
+	endedWithRuns []*trackedJob
 	// dirty holds the jobs whose state has changed since [Core.TakeRecords] last took
 	// it.
 	dirty map[job.ID]*trackedJob
@@ -461,6 +464,9 @@
 	}
 	tj := &trackedJob{Job: j, state: s, recordedPhase: s.Phase()}
 	if s.Phase().Final() {
+		if len(s.KeptSteps()) > 0 {
+			c.endedWithRuns = append(c.endedWithRuns, tj)
+		}
 		tj.prune()
 		c.jobs[j.ID] = tj
 		return
@@ -558,6 +564,7 @@
 
 // finishJob gives a job its final phase, stops its runs and closes its stages.
 func (c *Core) finishJob(tj *trackedJob, p job.Phase, now time.Time) {
+	tj.keepStepsWithRuns()
 	tj.state.SetFinalPhase(p, now)
 	c.markDirty(tj)
 	c.config.Log.Info("job ended", "job", tj.ID, "phase", p, "queue", tj.Queue)
@@ -575,6 +582,20 @@
 	}
 }
 
+// keepStepsWithRuns keeps in the state of a job that ends what its runs use, so that the next
+// owner can count them until they have stopped.
+func (tj *trackedJob) keepStepsWithRuns() {
+	var steps []int
+	for id, s := range tj.stages {
+		if slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.runs) > 0 }) && !slices.Contains(steps, id.Step) {
+			steps = append(steps, id.Step)
+		}
+	}
+	if len(steps) > 0 {
+		tj.state.KeepSteps(steps)
+	}
+}
+
 // closeStage removes a stage from its pool, so that none of its tasks starts.
 func (c *Core) closeStage(s *stage) {
 	for _, p := range c.pools {
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -71,18 +71,18 @@
 // task.
 func (c *Core) restoreRuns(now time.Time) {
 	for _, restored := range c.restoredRuns {
-		tj := c.jobs[restored.id.Task.Job]
-		if tj == nil || !tj.hasTask(restored.id.Task) || c.vms[restored.vm.ID] != restored.vm || restored.vm.runs[restored.id] != nil {
+		if c.vms[restored.vm.ID] != restored.vm || restored.vm.runs[restored.id] != nil {
 			continue
 		}
+		tj := c.jobs[restored.id.Task.Job]
 		var t *task
-		if !tj.state.Phase().Final() {
+		if tj != nil && !tj.state.Phase().Final() {
 			t = c.taskOf(tj, restored.id.Task)
 		}
 		if t == nil {
 			t = placeholderTask(tj, restored.id.Task)
 		}
-		if restored.id.Number < t.reportedNumber {
+		if t == nil || restored.id.Number < t.reportedNumber {
 			continue
 		}
 		r := c.newRun(t, restored.vm, restored.id.Number, now)
--- a/schedule/place.go
+++ b/schedule/place.go
@@ -14,7 +14,7 @@
 	if t.cap == nil {
 		return true
 	}
-	teamCap, total := *t.cap, t.used.Plus(s.step.Need.Times(n))
+	teamCap, total := *t.cap, t.used.Plus(t.gatedUse).Plus(s.step.Need.Times(n))
 	return (teamCap.CPU == 0 || total.CPU <= teamCap.CPU) &&
 		(teamCap.Memory == 0 || total.Memory <= teamCap.Memory) &&
 		(teamCap.GPU == 0 || total.GPU <= teamCap.GPU)
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -71,6 +71,7 @@
 		c.tickVM(v, now)
 	}
 	c.machineOfVMNeeded = c.needsMachineOfVM()
+	c.boundGatedUse(now)
 	c.settleCrashes(now)
 	for id, tj := range c.active {
 		switch {
--- a/schedule/run.go
+++ b/schedule/run.go
@@ -76,25 +76,22 @@
 // its job is unknown or has ended, or its task is done. If the task has another run and
 // allows no copies, the one with the lower number is stopped: the owner that started the
 // other one knew that the lower one had ended, or would do nothing any more. A stopped run
-// of a known job uses the VM's capacity until it has ended.
+// of a known job uses the VM's capacity and counts for its team until it has ended.
 func (c *Core) adoptRun(v *vm, p Progress, now time.Time) {
 	tj := c.jobs[p.Run.Task.Job]
-	if tj == nil || !tj.hasTask(p.Run.Task) {
-		c.config.Log.Info("run of an unknown task stopped", "run", p.Run, "vm", v.ID)
-		v.hasUnknownRun = true
-		c.actions = append(c.actions, Stop{VM: v.ID, Run: p.Run, Fence: v.fence(c.epoch)})
-		return
-	}
 	var t *task
-	if !tj.state.Phase().Final() {
+	if tj != nil && !tj.state.Phase().Final() {
 		t = c.taskOf(tj, p.Run.Task)
 	}
 	wanted := t != nil
 	if wanted {
 		c.dropSuperseded(t, p.Run.Number)
 		wanted = t.stage.step.Speculative || !slices.ContainsFunc(t.runs, func(other *run) bool { return other.id.Number >= p.Run.Number })
-	} else {
-		t = placeholderTask(tj, p.Run.Task)
+	} else if t = placeholderTask(tj, p.Run.Task); t == nil {
+		c.config.Log.Info("run of an unknown task stopped", "run", p.Run, "vm", v.ID)
+		v.hasUnknownRun = true
+		c.actions = append(c.actions, Stop{VM: v.ID, Run: p.Run, Fence: v.fence(c.epoch)})
+		return
 	}
 	if wanted && !t.stage.step.Speculative {
 		for _, lower := range t.runs {
@@ -137,10 +134,21 @@
 // stopReportMargin is the time allowed for the end of a stopped run to be reported.
 const stopReportMargin = 400 * time.Millisecond
 
-// placeholderTask returns a task, not part of its job's stages, for a run that is
-// kept only until it has stopped.
+// placeholderTask returns a task, not part of its job's stages, for a run that is kept only
+// until it has stopped. It returns nil if it is not known what the run uses: the job may be nil,
+// or may have ended with no runs of that step.
 func placeholderTask(tj *trackedJob, id job.Task) *task {
-	s := &stage{trackedJob: tj, id: id.Stage(), step: &tj.Steps[id.Step]}
+	if tj == nil {
+		return nil
+	}
+	s := &stage{trackedJob: tj, id: id.Stage()}
+	if tj.hasTask(id) {
+		s.step = &tj.Steps[id.Step]
+	} else if kept, ok := tj.state.KeptStep(id.Step); ok {
+		s.step = &kept
+	} else {
+		return nil
+	}
 	return &task{stage: s, id: id, done: true}
 }
 
@@ -291,6 +299,7 @@
 	}
 	c.closeStage(s)
 	if tj.state.Phase() == job.Completed {
+		tj.keepStepsWithRuns()
 		tj.state.MarkCompleted(now)
 		c.config.Log.Info("job completed", "job", tj.ID, "queue", tj.Queue, "run", number,
 			"late", now.Sub(s.due.Add(c.allowance(tj))).Milliseconds(), "took", now.Sub(tj.Accepted).Milliseconds())
--- a/schedule/team.go
+++ b/schedule/team.go
@@ -16,8 +16,9 @@
 	cap, recordedCap *job.Resources
 	// usedAt is when a job of the team was last admitted or added.
 	usedAt time.Time
-	// used is the sum of the resources that the team's runs are charged for.
-	used job.Resources
+	// used is the sum of the resources that the team's runs are charged for, and gatedUse a
+	// bound of what its runs use on VMs that have not answered this owner yet.
+	used, gatedUse job.Resources
 }
 
 // TeamRecord is the record of a team that has accepted jobs.
@@ -112,3 +113,63 @@
 		return slices.ContainsFunc(p.Teams, func(t TeamRecord) bool { return t.Name == name })
 	})
 }
+
+// stopTimeAfterEnd is how long after the end of a job its runs may still be there: until their
+// leases have expired.
+func (c Config) stopTimeAfterEnd() time.Duration { return c.MaxLeaseWithDrift() + c.MaxStopTime }
+
+// boundGatedUse bounds what the runs of each team use on the VMs that have not answered this
+// owner: at most what those VMs have, and what the tasks of its earlier jobs need that may run
+// there.
+func (c *Core) boundGatedUse(now time.Time) {
+	for _, t := range c.teams {
+		t.gatedUse = job.Resources{}
+	}
+	if len(c.gates) == 0 {
+		return
+	}
+	var pools poolSet
+	var capacity job.Resources
+	for id, g := range c.gates {
+		pools = pools.union(g.pools)
+		if v := c.vms[id]; v != nil {
+			capacity = capacity.Plus(v.Capacity)
+		}
+	}
+	for _, tj := range c.active {
+		if tj.Epoch == c.epoch || !tj.queue.pools.overlaps(pools) {
+			continue
+		}
+		for i := range tj.Steps {
+			c.team(tj.Team).addGatedUse(tj.Steps[i], tj.Occurrences(), capacity)
+		}
+	}
+	for _, tj := range c.endedWithRuns {
+		if now.Sub(tj.state.EndedAt()).Abs() > c.config.stopTimeAfterEnd() {
+			continue
+		}
+		for _, step := range tj.state.KeptSteps() {
+			c.team(tj.Team).addGatedUse(step, 1, capacity)
+		}
+	}
+}
+
+// addGatedUse adds the runs of a step to a bound that is at most capacity.
+func (t *team) addGatedUse(step job.Step, occurrences int, capacity job.Resources) {
+	runs := int64(step.Count) * int64(occurrences)
+	add := func(bound *int64, need, most int64) {
+		// A task that needs more than there is does not run. The product is compared without
+		// an overflow.
+		if need > most {
+			return
+		}
+		if need > 0 && runs > most/need {
+			*bound = most
+			return
+		}
+		*bound = min(*bound+need*runs, most)
+	}
+	add(&t.gatedUse.CPU, step.Need.CPU, capacity.CPU)
+	add(&t.gatedUse.Memory, step.Need.Memory, capacity.Memory)
+	add(&t.gatedUse.GPU, step.Need.GPU, capacity.GPU)
+}
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -488,9 +488,13 @@
 		listed[p.Run] = true
 	}
 	for _, r := range v.sortedRuns() {
-		if r.fence < h.Fence && !listed[r.id] {
+		switch {
+		case r.fence < h.Fence && !listed[r.id]:
 			c.config.Log.Info("run not found on its VM", "run", r.id, "vm", v.ID, "state", r.state)
 			c.endRun(r, Unknown, "", now)
+		case r.task.done && !r.task.stage.step.Gang && r.state == runRunning:
+			// The previous owner may not have stopped the run.
+			c.stopRun(r, stopUnneeded, now)
 		}
 	}
 	v.hasUnknownRun = false
