Request advice for a suspect that waits for its trial

After a crash of its VM a task of an advised queue never started again (LOST).

A stage whose tasks wait for a trial counts as placed, and its trial waits for a permitted VM.

Change: advice is also requested while a task waits that may start. Names: the review of recorded settings covers queues and teams.

Evidence: TestSuspectGetsAdvice fails without the change and passes now.

--- a/schedule/advise.go
+++ b/schedule/advise.go
@@ -122,7 +122,13 @@
 // permitted VMs, and requests advice if other VMs could run them.
 func (c *Core) considerAdvice(s *stage, result placement, usable []*vm, now time.Time) placement {
 	switch result.(type) {
-	case placed, postponed:
+	case postponed:
+		return result
+	case placed:
+		// A suspect may still wait for a VM for its trial.
+		if s.hasStartableTask(now) {
+			c.requestAdvice(s, usable, now)
+		}
 		return result
 	case noRoom, unplaced:
 	}
--- a/schedule/advise_test.go
+++ b/schedule/advise_test.go
@@ -219,3 +219,19 @@
 	h.run(5 * time.Second)
 	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
 }
+
+// TestSuspectGetsAdvice guards against a task that never starts again after a crash of its VM,
+// because it waits for a trial on VMs of which the advice service was not asked.
+func TestSuspectGetsAdvice(t *testing.T) {
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 2)
+	h.addAdvisedQueue("advised", "till")
+	h.advice = map[string]string{"vm-0": "ticket"}
+	h.run(time.Second)
+	h.submit(advisedBatch("1", 1))
+	h.step(50 * time.Millisecond)
+	h.step(time.Millisecond)
+	h.runsOn("till").Crash(h.now)
+	h.run(20 * time.Second)
+	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
+}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -89,10 +89,10 @@
 	// gates holds, by VM id, a gate for each VM that may run tasks of the previous
 	// owner and has not yet reported to this one.
 	gates map[string]*gate
-	// queues holds the queues that have or had accepted jobs, by name. queuesReviewedAt is
-	// when they were last reviewed.
-	queues           map[string]*queue
-	queuesReviewedAt time.Time
+	// queues holds the queues that have or had accepted jobs, by name. settingsReviewedAt is
+	// when queues and teams were last reviewed.
+	queues             map[string]*queue
+	settingsReviewedAt time.Time
 	// adviceRequests holds when each request for advice without an answer was given.
 	adviceRequests map[job.Stage]time.Time
 	// endedWithRuns lists the jobs that had ended with runs when the previous owner recorded
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -56,8 +56,8 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// FleetPart is a part of the record of the VMs, the queues and the teams. The part of each follows from
-// its id or name, so that a change of one rewrites few others.
+// FleetPart is a part of the record of the VMs, the queues and the teams. The part of each
+// follows from its id or name, so that a change of one rewrites few others.
 type FleetPart struct {
 	Number  int           `json:"number"`
 	VMs     []Place       `json:"vms"`
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -38,7 +38,7 @@
 		}
 	}
 	gatedPools := c.gatedPools(now)
-	c.reviewQueues(now)
+	c.reviewSettings(now)
 	pools := c.sortedPools()
 	for i := range pools {
 		c.planPool(pools[(i+c.firstPool)%len(pools)], gatedPools, now)
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -222,22 +222,22 @@
 }
 
 const (
-	// queueReviewInterval is the least time between two searches for pools that queues have
+	// settingsReviewInterval is the least time between two searches for pools that queues have
 	// left, and for queues that are no longer needed.
-	queueReviewInterval = time.Second
+	settingsReviewInterval = time.Second
 	// settingsRetention is how long a queue or a team that the configuration lacks is kept after
 	// the last of its jobs was admitted. A job that was admitted may be added much later, if its commit
 	// is in doubt.
 	settingsRetention = 10 * time.Minute
 )
 
-// reviewQueues drops the pools in which no run of a queue's jobs exists any more, and the queues
-// that are neither configured nor have jobs that have not ended.
-func (c *Core) reviewQueues(now time.Time) {
-	if now.Sub(c.queuesReviewedAt) < queueReviewInterval {
+// reviewSettings drops the pools in which no run of a queue's jobs exists any more, and the queues
+// and teams that are neither configured nor have jobs that have not ended.
+func (c *Core) reviewSettings(now time.Time) {
+	if now.Sub(c.settingsReviewedAt) < settingsReviewInterval {
 		return
 	}
-	c.queuesReviewedAt = now
+	c.settingsReviewedAt = now
 	c.dropQueues(now)
 	c.dropTeams(now)
 	if len(c.gates) == 0 {
