--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -77,8 +77,13 @@
 	// recordsChanged is called with the operators' records of an entry after each change;
 	// nil is allowed.
 	recordsChanged func(i int, items map[string]store.Item)
-	// started is called with each start order of an entry to a VM; nil is allowed.
-	started func(entry int, a schedule.Start)
+	// started is called with each start order of an entry to a VM, and answered with the
+	// result after it was carried out or not; nil is allowed.
+	started  func(entry int, a schedule.Start)
+	answered func(a schedule.Start, r schedule.Result)
+	// advise returns the VMs that the advice service allows for a stage, out of those that it
+	// is asked about; nil means all.
+	advise func(a schedule.Advise) []string
 	// retention is how long the entries that are started next keep ended jobs.
 	retention time.Duration
 
@@ -190,10 +195,14 @@
 	return n
 }
 
-// Advise allows every VM to run every task.
+// Advise returns tickets for the VMs that advise allows to run the tasks of a stage.
 func (s *system) Advise(_ context.Context, a schedule.Advise) (map[string]string, time.Duration, error) {
 	out := make(map[string]string)
-	for _, id := range a.VMs {
+	allowed := a.VMs
+	if s.advise != nil {
+		allowed = s.advise(a)
+	}
+	for _, id := range allowed {
 		out[id] = "ticket"
 	}
 	return out, 3 * time.Second, nil
@@ -244,7 +253,11 @@
 	if c.system.started != nil {
 		c.system.started(c.entry, a)
 	}
-	return w.Start(a, j.Steps[a.Run.Task.Step], taskDuration, time.Now())
+	r := w.Start(a, j.Steps[a.Run.Task.Step], taskDuration, time.Now())
+	if c.system.answered != nil {
+		c.system.answered(a, r)
+	}
+	return r
 }
 
 func (c *vmClient) Stop(_ context.Context, v schedule.VM, a schedule.Stop) schedule.Result {
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -298,8 +298,8 @@
 	delete(w.running, r)
 	w.lastEndNumber++
 	w.ended = append(w.ended, schedule.End{Number: w.lastEndNumber, Run: r, Outcome: outcome})
-	if w.Checker != nil && outcome == schedule.Done {
-		w.Checker.recordDone(r)
+	if w.Checker != nil {
+		w.Checker.recordEnd(r, outcome)
 	}
 }
 
@@ -441,7 +441,9 @@
 	// startsAfterCrashes how often the task was started after the last crash that is
 	// allowed.
 	crashes, startsAfterCrashes map[job.Task]int
-	violations                  []string
+	// failures is how many runs of a task have ended as failed.
+	failures   map[job.Task]int
+	violations []string
 }
 
 // maxCrashes is how often the runs of a task may crash a worker before its starts are
@@ -457,6 +459,7 @@
 		doneSeen: make(map[job.Task]bool),
 		doneRuns: make(map[job.Task][]schedule.Run), restartedAfter: make(map[schedule.Run]bool),
 		crashes: make(map[job.Task]int), startsAfterCrashes: make(map[job.Task]int),
+		failures: make(map[job.Task]int),
 	}
 }
 
@@ -527,11 +530,24 @@
 	return c.crashes[t]
 }
 
-// recordDone records a run that has ended as done.
-func (c *Checker) recordDone(r schedule.Run) {
+// recordEnd records how a run has ended.
+func (c *Checker) recordEnd(r schedule.Run, outcome schedule.Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch outcome {
+	case schedule.Done:
+		c.doneRuns[r.Task] = append(c.doneRuns[r.Task], r)
+	case schedule.Failed:
+		c.failures[r.Task]++
+	case schedule.Stopped, schedule.Lapsed, schedule.Broken, schedule.Alone, schedule.Unknown:
+	}
+}
+
+// Failures returns how many runs of a task have ended as failed.
+func (c *Checker) Failures(t job.Task) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.doneRuns[r.Task] = append(c.doneRuns[r.Task], r)
+	return c.failures[t]
 }
 
 // runsTask reports whether the worker runs a task. It only tries the worker's lock,
