--- a/jobs/reconfigurations_test.go
+++ b/jobs/reconfigurations_test.go
@@ -296,16 +296,7 @@
 	case 1:
 		s.restart(i)
 	case 2:
-		length := time.Second + time.Duration(s.rand.Int64N(int64(3*time.Second)))
-		s.ways[i].setFault(wayFrozen, length)
-		for k := range s.ways {
-			if k != i {
-				s.net.Partition(entryAddr(i), entryAddr(k))
-				s.net.Partition(entryAddr(k), entryAddr(i))
-			}
-		}
-		time.Sleep(length)
-		s.net.Heal()
+		s.freeze(s.ways, i, time.Second+time.Duration(s.rand.Int64N(int64(3*time.Second))))
 	}
 }
 
--- a/jobs/successions_test.go
+++ b/jobs/successions_test.go
@@ -252,16 +252,7 @@
 		time.Sleep(length)
 		s.kv.SetFault(standin.KeyValueHealthy)
 	case 3, 4:
-		// A frozen entry reaches neither the store nor the other entries.
-		s.ways[i].setFault(wayFrozen, length)
-		for k := range s.ways {
-			if k != i {
-				s.net.Partition(entryAddr(i), entryAddr(k))
-				s.net.Partition(entryAddr(k), entryAddr(i))
-			}
-		}
-		time.Sleep(length)
-		s.net.Heal()
+		s.freeze(s.ways, i, length)
 	default:
 		for k := range s.ways {
 			s.ways[k].setFault(wayLosesAnswers+wayFault(kind-5), length)
@@ -269,6 +260,19 @@
 	}
 }
 
+// freeze keeps an entry for a while from reaching the store and the other entries.
+func (s *system) freeze(ways []*faultyWay, i int, length time.Duration) {
+	ways[i].setFault(wayFrozen, length)
+	for k := range ways {
+		if k != i {
+			s.net.Partition(entryAddr(i), entryAddr(k))
+			s.net.Partition(entryAddr(k), entryAddr(i))
+		}
+	}
+	time.Sleep(length)
+	s.net.Heal()
+}
+
 // restart stops an entry as planned and starts it again as another process.
 func (s *successions) restart(i int) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
