Know the sizes that the store accepts, and name the record that exceeds one

A commit that the store answers with 400 was logged as "failed to write records: status 400", without the key, its length or the limit, so that a record which the store will never take looked like a store that is away. valueBytes of the settings was read by no code, and the stand-in of the store took any value, any key and 96 entries in a transaction.

Read valueBytes, check each record of a commit against it before the commit is sent, and return a typed error with the key, the length and the limit.

Nothing else changes yet: a refused commit is still put back whole.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -91,6 +91,8 @@
 	Self shard.Member
 	// Store is the store as this entry reaches it.
 	Store store.Store
+	// StoreLimits are the sizes that the store accepts.
+	StoreLimits store.Limits
 	// Prefix is the key prefix of the election and the ledger.
 	Prefix string
 	// OperatorRecordsPrefix and VMsPrefix are the key prefixes of the operators'
@@ -197,7 +199,7 @@
 func (n *Node) startOwner() {
 	c := n.config
 	n.carriers = carrier.New(carrier.Config{Direct: c.VMs, Dial: n.links.Carry, Log: c.Log})
-	jobLedger := ledger.New(ledger.Config{Store: n.relay, Prefix: c.Prefix, Run: c.Self.Run, AttemptFailed: func(err error) {
+	jobLedger := ledger.New(ledger.Config{Store: n.relay, Limits: c.StoreLimits, Prefix: c.Prefix, Run: c.Self.Run, AttemptFailed: func(err error) {
 		c.Log.Warn("commit attempt failed", "error", err)
 	}})
 	n.owner = owner.New(owner.Config{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -82,6 +82,8 @@
 	Prefix string
 	// Run identifies this process; it differs after a restart.
 	Run string
+	// Limits are the sizes that the store accepts.
+	Limits store.Limits
 	// AttemptFailed, if not nil, is called with the error of each failed commit
 	// attempt.
 	AttemptFailed func(error)
@@ -215,7 +217,9 @@
 
 // Commit writes a batch. It retries until the outcome is known or ctx ends.
 //
-// After [*Unwritten], nothing was written and the ledger remains usable. If ctx or the
+// After [*Unwritten] and [*store.Invalid], nothing was written and the ledger remains usable. The
+// latter means that the store will never accept the batch; a batch with a record that exceeds
+// [Config.Limits] is not sent, and the cause is [*store.TooLarge]. If ctx or the
 // term ends while the outcome is unknown, the error is [*Unsettled], and nothing else
 // may be committed in that term. After [*Deposed], the last attempt did not write the
 // batch, but an earlier attempt whose answer was lost may have.
@@ -225,7 +229,12 @@
 	}
 	puts, err := l.encodePuts(b)
 	if err != nil {
-		return &Unwritten{Cause: err}
+		return err
+	}
+	for _, p := range puts {
+		if err := l.config.Limits.CheckPut(p); err != nil {
+			return &store.Invalid{Call: "commit", Cause: err}
+		}
 	}
 	epoch := l.currentTail().Epoch
 	pause := initialBackoff
@@ -335,7 +344,8 @@
 	return t
 }
 
-// encodePuts returns the writes of a batch, without that of the tail.
+// encodePuts returns the writes of a batch, without that of the tail. The error is
+// [*store.Invalid].
 func (l *Ledger) encodePuts(b Batch) ([]store.Put, error) {
 	var out []store.Put
 	for _, j := range b.Jobs {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -171,3 +171,23 @@
 	g.Expect(loaded.RecordFailure(job.Task{Job: "1", Index: 3}, 2)).To(gomega.BeFalse(), "a failure of the same run counts once")
 	g.Expect(loaded.Phase()).To(gomega.Equal(job.Running))
 }
+
+// TestOversizedRecordIsNotSent guards against records that are sent to the store although it
+// will never accept them, and against an error that does not tell which record that is.
+func TestOversizedRecordIsNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := standin.NewKeyValue()
+	l := ledger.New(ledger.Config{Store: k, Prefix: prefix, Run: "a", Limits: store.Limits{ValueBytes: 1000}})
+	l.SetTail(writeTail(k, "a", 1))
+	calls := k.Calls()
+	b := batchOf("good")
+	b.States = []ledger.StateRecord{{Job: "long", Data: make([]byte, 1001)}}
+	err := l.Commit(t.Context(), b)
+	tooLarge, ok := errors.Into[*store.TooLarge](err)
+	g.Expect(ok).To(gomega.BeTrue(), "%v", err)
+	g.Expect(*tooLarge).To(gomega.Equal(store.TooLarge{Key: prefix + "state/long", What: "value", Bytes: 1001, Limit: 1000}))
+	_, ok = errors.Into[*store.Invalid](err)
+	g.Expect(ok).To(gomega.BeTrue(), "%v", err)
+	g.Expect(k.Calls()).To(gomega.Equal(calls))
+	g.Expect(l.Commit(t.Context(), batchOf("good"))).To(gomega.Succeed())
+}
--- a/standin/keyvalue.go
+++ b/standin/keyvalue.go
@@ -28,6 +28,9 @@
 	stallCount int
 	fault      KeyValueFault
 	calls      int
+	// limits are the sizes that transactions must keep, and invalid counts those that don't.
+	limits  store.Limits
+	invalid int
 }
 
 type keyValueLease struct {
@@ -66,10 +69,36 @@
 func NewKeyValue() *KeyValue {
 	return &KeyValue{
 		rev: 1, items: make(map[string]store.Item), leases: make(map[store.LeaseID]*keyValueLease),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), limits: store.Limits{KeyBytes: defaultKeyBytes, ValueBytes: defaultValueBytes},
 	}
 }
 
+// The limits of a new KeyValue, which are those of the users' platform.
+const (
+	defaultKeyBytes   = 200
+	defaultValueBytes = 1 << 20
+)
+
+// SetLimits replaces the sizes that transactions must keep.
+func (k *KeyValue) SetLimits(l store.Limits) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.limits = l
+}
+
+// Invalid returns how many transactions were refused because they exceed a limit.
+func (k *KeyValue) Invalid() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.invalid
+}
+
+// refuse returns the error of a transaction that exceeds a limit. The caller holds k.mu.
+func (k *KeyValue) refuse(cause error) error {
+	k.invalid++
+	return &store.Invalid{Call: "commit", Cause: cause}
+}
+
 // SetFault replaces the current fault.
 func (k *KeyValue) SetFault(f KeyValueFault) {
 	k.mu.Lock()
@@ -267,8 +296,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.expire()
-	if len(t.Guards)+len(t.Puts)+len(t.Removes) > 3*store.MaxTxnOps {
-		return 0, &store.Invalid{Call: "commit", Cause: &InjectedFault{}}
+	if len(t.Guards)+len(t.Puts)+len(t.Removes) > store.MaxTxnOps {
+		return 0, k.refuse(&InjectedFault{})
+	}
+	if err := k.limits.Check(t); err != nil {
+		return 0, k.refuse(err)
 	}
 	conflict := &store.Conflict{}
 	guardsHold := true
