Make a commit that the store never takes again record by record

Cause: after a 400 the owner put all changes of the batch back at once. The part of the fleet that could not be written then headed each later batch and took the whole batch with it, without a pause.

Now the owner makes such a commit again with one record each, in an order in which none relies on a later one, and sets the record at fault aside: a job is answered 400 with the reason, anything else is tried again after 1 s, then after twice as long each time, and no other record waits for it. What depends on the record goes on waiting: VMs keep the ends of the job, a VM whose part is set aside gets no tasks beyond its last record, and jobs whose queue or team is not recorded are refused at once. The end of a job has a short record and is written whatever those before were.

--- a/jobs/metrics.go
+++ b/jobs/metrics.go
@@ -4,12 +4,14 @@
 	"net/http"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"almondcove/admission"
 	"almondcove/owner"
+	"almondcove/store"
 )
 
 // metrics holds the metrics that a node records as it works. nodeCollector reads
@@ -64,12 +66,16 @@
 	return a
 }
 
-// observeCommit counts a commit to the ledger and records its duration.
+// observeCommit counts a commit to the ledger and records its duration. Its outcome tells a
+// commit that the store will never accept from one that failed because the store is away.
 func (m *metrics) observeCommit(took time.Duration, err error) {
 	outcome := "written"
 	if err != nil {
 		outcome = "failed"
 	}
+	if _, ok := errors.Into[*store.Invalid](err); ok {
+		outcome = "invalid"
+	}
 	m.commits.WithLabelValues(outcome).Inc()
 	m.commitSeconds.Observe(took.Seconds())
 }
@@ -113,6 +119,8 @@
 	contendedDesc   = prometheus.NewDesc("almondcove_pools_contended", "Pools in which tasks wait that fit on no VM.", nil, nil)
 	suspensionsDesc = prometheus.NewDesc("almondcove_suspensions_total", "Runs that were stopped at a checkpoint for urgent tasks.", nil, nil)
 	excessDesc      = prometheus.NewDesc("almondcove_excess_jobs_total", "Jobs that were handed in beyond the rates of their teams.", nil, nil)
+	deferredDesc    = prometheus.NewDesc("almondcove_records_deferred", "Records of the owner that the store does not take.", nil, nil)
+	deferralsDesc   = prometheus.NewDesc("almondcove_records_deferred_total", "Records that the store did not take, each time that they were tried.", nil, nil)
 	startsDesc      = prometheus.NewDesc("almondcove_task_starts_total", "Orders to start a task.", nil, nil)
 	endsDesc        = prometheus.NewDesc("almondcove_task_ends_total", "Ends of runs that VMs have listed.", nil, nil)
 	failuresDesc    = prometheus.NewDesc("almondcove_task_failures_total", "Ends of runs as failed.", nil, nil)
@@ -130,7 +138,7 @@
 // Describe implements prometheus.Collector.
 func (nc *nodeCollector) Describe(c chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		refusedDesc,
+		refusedDesc, deferredDesc, deferralsDesc,
 		ownerDesc, epochDesc, recordsDesc, storeDesc, vmsDesc, waitingDesc, startsDesc, endsDesc, failuresDesc, lapsesDesc,
 		recordsAgeDesc, callDelayDesc, startWindowDesc, crashesDesc, trialsDesc, givenUpDesc, suspendedDesc, carriersDesc,
 		speedDesc, copiesDesc, copiesWonDesc,
@@ -183,6 +191,8 @@
 	for reason, n := range stats.Refused {
 		count(refusedDesc, n, admission.Reason(reason).String())
 	}
+	gauge(deferredDesc, float64(nc.node.owner.Deferred()))
+	count(deferralsDesc, stats.Deferred)
 	count(startsDesc, stats.Starts)
 	count(endsDesc, stats.Ends)
 	count(failuresDesc, stats.Failures)
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -28,7 +28,7 @@
 	parts = make(map[int][]byte, len(r.Parts))
 	for _, part := range r.Parts {
 		if err == nil {
-			parts[part.Number], err = json.Marshal(part)
+			parts[part.Number], err = part.Encode()
 		}
 	}
 	return fleet, parts, err
@@ -36,13 +36,13 @@
 
 // decodeFleet returns the fleet in a snapshot. The error is [*store.Invalid].
 func decodeFleet(s ledger.Snapshot) (schedule.Fleet, error) {
-	var record fleetRecord
+	var stored fleetRecord
 	if s.Fleet != nil {
-		if err := json.Unmarshal(s.Fleet, &record); err != nil {
+		if err := json.Unmarshal(s.Fleet, &stored); err != nil {
 			return schedule.Fleet{}, &store.Invalid{Call: "fleet", Cause: err}
 		}
 	}
-	out := record.Fleet
+	out := stored.Fleet
 	recorded := make(map[string]bool)
 	for _, data := range s.FleetParts {
 		var part schedule.FleetPart
@@ -57,11 +57,12 @@
 		out.Queues = append(out.Queues, part.Queues...)
 		out.Teams = append(out.Teams, part.Teams...)
 	}
-	if len(record.VMs) == 0 || string(record.VMs) == noVMs {
+	if len(stored.VMs) == 0 || string(stored.VMs) == noVMs {
 		return out, nil
 	}
+	out.EarlierList = true
 	var earlier []schedule.Place
-	if err := json.Unmarshal(record.VMs, &earlier); err != nil {
+	if err := json.Unmarshal(stored.VMs, &earlier); err != nil {
 		return schedule.Fleet{}, &store.Invalid{Call: "fleet", Cause: err}
 	}
 	// A part is newer than the list of an earlier version.
--- /dev/null
+++ b/owner/invalid_test.go
@@ -0,0 +1,203 @@
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/onsi/gomega"
+
+	"almondcove/job"
+	"almondcove/ledger"
+	"almondcove/owner"
+	"almondcove/schedule"
+	"almondcove/standin"
+	"almondcove/store"
+)
+
+// pickyStore is a store that never takes some records.
+type pickyStore struct {
+	store.Store
+	refuses func(store.Put) bool
+	refused atomic.Int32
+}
+
+func (s *pickyStore) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	time.Sleep(4 * time.Millisecond)
+	for _, p := range t.Puts {
+		if s.refuses(p) {
+			s.refused.Add(1)
+			return 0, &store.Invalid{Call: "commit", Cause: &standin.InjectedFault{}}
+		}
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// workerVMs sends orders to stand-in VMs by id. A VM without a stand-in does not answer.
+type workerVMs struct {
+	mu      sync.Mutex
+	workers map[string]*standin.Worker
+	jobs    map[job.ID]*job.Job
+}
+
+func (v *workerVMs) worker(id string) *standin.Worker {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.workers[id]
+}
+
+func (v *workerVMs) Hold(_ context.Context, vm schedule.VM, h schedule.Hold) (schedule.Report, schedule.Result) {
+	time.Sleep(time.Millisecond)
+	w := v.worker(vm.ID)
+	if w == nil {
+		return schedule.Report{}, schedule.Unanswered
+	}
+	w.Advance(time.Now())
+	return w.Hold(h, time.Now())
+}
+
+func (v *workerVMs) Start(_ context.Context, vm schedule.VM, s schedule.Start) schedule.Result {
+	w := v.worker(vm.ID)
+	v.mu.Lock()
+	step := v.jobs[s.Run.Task.Job].Steps[s.Run.Task.Step]
+	v.mu.Unlock()
+	return w.Start(s, step, step.Estimate, time.Now())
+}
+
+func (v *workerVMs) Stop(_ context.Context, vm schedule.VM, s schedule.Stop) schedule.Result {
+	return v.worker(vm.ID).Stop(s)
+}
+
+func (*workerVMs) Pace(context.Context, schedule.VM, schedule.Pace) schedule.Result {
+	return schedule.Accepted
+}
+
+// fixture is an owner of one process with stand-in VMs of one pool.
+type fixture struct {
+	*owner.Owner
+	t      *testing.T
+	vms    *workerVMs
+	listed []schedule.VM
+}
+
+// newFixture returns an owner of the first epoch with that many VMs. Its records are in s, and k
+// is the service that s leads to.
+func newFixture(t *testing.T, s store.Store, k *standin.KeyValue, limits store.Limits, vms int) *fixture {
+	f := &fixture{t: t, vms: &workerVMs{workers: make(map[string]*standin.Worker), jobs: make(map[job.ID]*job.Job)}}
+	checker := standin.NewChecker()
+	for i := range vms {
+		v := schedule.VM{
+			ID: fmt.Sprint("vm-", i), Pool: "p", Capacity: job.Resources{CPU: 8000, Memory: 8000},
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80), Born: time.Now(),
+		}
+		f.listed = append(f.listed, v)
+		f.vms.workers[v.ID] = standin.NewWorker(v, checker, time.Now())
+	}
+	f.Owner = owner.New(owner.Config{
+		Ledger:         ledger.New(ledger.Config{Store: s, Limits: limits, Prefix: "t/", Run: "a"}),
+		Schedule:       schedule.Config{Retention: time.Minute, MaxLease: 6 * time.Second},
+		HoldsOwnership: func() bool { return true },
+		VMs:            f.vms,
+		Machines:       standin.NewMachines(standin.MachinesConfig{}),
+		ReportWaves:    func(context.Context, []schedule.WaveState) error { return nil },
+		Committed:      func(time.Duration, error) {},
+		Ordered:        func(string, string) {},
+		Log:            hclog.NewNullLogger(),
+	})
+	f.SetView(schedule.View{Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p", Attempts: 3}}})
+	elect(t, f.Owner, k, 1)
+	f.SetVMs(f.listed)
+	time.Sleep(time.Second)
+	t.Cleanup(func() {
+		f.Close()
+		if v := checker.Violations(); len(v) > 0 {
+			t.Errorf("rules broken: %v", v)
+		}
+	})
+	return f
+}
+
+// submit submits a job within the time that callers give it.
+func (f *fixture) submit(j *job.Job) owner.Answer {
+	f.vms.mu.Lock()
+	f.vms.jobs[j.ID] = j
+	f.vms.mu.Unlock()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 3*time.Second)
+	defer cancel()
+	return f.Submit(ctx, j)
+}
+
+func (f *fixture) cancel(id job.ID) owner.Answer {
+	ctx, cancel := context.WithTimeout(f.t.Context(), 4*time.Second)
+	defer cancel()
+	return f.Cancel(ctx, id, owner.Scope{})
+}
+
+func (f *fixture) phase(id job.ID) job.Phase { return f.Show(id, owner.Scope{}).Phase }
+
+// plainJob returns a job of that many tasks, each of which takes some time.
+func plainJob(id string, tasks int, takes time.Duration) *job.Job {
+	return &job.Job{ID: job.ID(id), Queue: "q", Steps: []job.Step{{Count: tasks, Need: job.Resources{CPU: 100, Memory: 100}, Estimate: takes}}}
+}
+
+// TestRecordThatStoreNeverTakes guards against one record that holds up all others: whichever
+// record the store never takes, cancels are acknowledged, ends are recorded and jobs are accepted.
+func TestRecordThatStoreNeverTakes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refuses func(store.Put) bool
+	}{
+		{"job", func(p store.Put) bool { return p.Key == "t/job/bad" }},
+		{"state", func(p store.Put) bool { return p.Key == "t/state/bad" }},
+		{"part of the fleet", func(p store.Put) bool {
+			return strings.HasPrefix(p.Key, "t/fleet/") && strings.Contains(string(p.Value), "odd")
+		}},
+		{"fleet", func(p store.Put) bool { return p.Key == "t/fleet" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := standin.NewKeyValue()
+				s := &pickyStore{Store: k, refuses: c.refuses}
+				f := newFixture(t, s, k, store.Limits{}, 4)
+				f.SetVMs(append(f.listed, schedule.VM{ID: "odd", Pool: "p", Address: f.listed[0].Address}))
+				bad := make(chan owner.Answer, 1)
+				go func() { bad <- f.submit(plainJob("bad", 6, 2*time.Second)) }()
+				checkNeighbours(f)
+				if c.name == "job" {
+					gomega.NewWithT(t).Expect(bad).To(gomega.Receive(gomega.HaveField("Outcome", owner.Invalid)))
+				}
+				// After the first attempts, the pauses between them double from 1 s.
+				gomega.NewWithT(t).Expect(s.refused.Load()).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", 20)))
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// checkNeighbours submits ordinary jobs for 10 s, of which every second one is cancelled.
+func checkNeighbours(f *fixture) {
+	g := gomega.NewWithT(f.t)
+	for i := range 20 {
+		id := fmt.Sprint("job-", i)
+		g.Expect(f.submit(plainJob(id, 2, time.Second)).Outcome).To(gomega.Equal(owner.Done), id)
+		if i%2 == 0 {
+			g.Expect(f.cancel(job.ID(id)).Outcome).To(gomega.Equal(owner.Done), id)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	for i := range 20 {
+		want := job.Completed
+		if i%2 == 0 {
+			want = job.Cancelled
+		}
+		g.Expect(f.phase(job.ID(fmt.Sprint("job-", i)))).To(gomega.Equal(want), "job %d", i)
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -141,6 +141,8 @@
 	// commit is the last one until its outcome is known, which may be only when the next term
 	// begins; nil means that there is none.
 	commit *pendingCommit
+	// divided lists the parts, of one record each, of a commit that the store did not accept.
+	divided []*pendingCommit
 	// term is that of the last election won. The result of a recovery for an earlier
 	// term is dropped.
 	term shard.Term
@@ -333,6 +335,9 @@
 	if o.core.NeedsMachineList() {
 		wake(o.machinesWake)
 	}
+	if o.core.Deferred() > 0 {
+		wake(o.commitWake)
+	}
 	return took
 }
 
@@ -374,3 +379,14 @@
 	}
 	return o.core.Stats(), o.core.Pools(time.Now())
 }
+
+// Deferred returns how many records the store does not take. It is zero while this entry is
+// not the active owner.
+func (o *Owner) Deferred() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.core == nil || !o.active {
+		return 0
+	}
+	return o.core.Deferred()
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -9,7 +9,6 @@
 	"almondcove/delay"
 	"almondcove/job"
 	"almondcove/ledger"
-	"almondcove/schedule"
 	"almondcove/store"
 )
 
@@ -61,6 +60,9 @@
 	if refusal, ok := o.mayRecord(); !ok {
 		return refusal, false
 	}
+	if retry, deferred := o.core.SettingsDeferred(j.Queue, j.Team, time.Now()); deferred {
+		return Answer{Outcome: Refused, Retry: retry, Reason: "queue or team not recorded"}, false
+	}
 	if refusal, ok := o.core.Admit(j, time.Now()); !ok {
 		return Answer{Outcome: Refused, Retry: refusal.Retry, Reason: refusal.Reason}, false
 	}
@@ -250,29 +252,16 @@
 	}
 }
 
-// pendingCommit is the content of one commit, and what its result is applied to.
-type pendingCommit struct {
-	// epoch is that of the term in which the commit was begun.
-	epoch int64
-	batch ledger.Batch
-	// tail is the tail that the commit leaves.
-	tail ledger.Tail
-	// recorded holds the core's changes that the batch contains in encoded form.
-	recorded schedule.RecordBatch
-	// accepted holds the acceptances that the commit completes.
-	accepted []*acceptance
-}
-
 // commitOnce writes the changed records. It reports whether the commit was full, not
-// counting the key reserved for the fleet and one that may be too few for a record; the next
-// one should then follow without a pause.
+// counting the key reserved for the fleet and one that may be too few for a record, or parts of
+// a commit wait; the next one should then follow without a pause.
 func (o *Owner) commitOnce() bool {
 	o.mu.Lock()
 	if !o.active {
 		o.mu.Unlock()
 		return false
 	}
-	commit, err := o.prepareCommit()
+	commit, err := o.nextCommit()
 	o.commit = commit
 	if commit.batch.Size() > 0 {
 		o.commitStartedAt = time.Now()
@@ -295,7 +284,7 @@
 	}
 	o.commitStartedAt = time.Time{}
 	o.finishCommit(commit, err)
-	return err == nil && commit.batch.Size() >= ledger.MaxBatchSize-2
+	return len(o.divided) > 0 || err == nil && commit.batch.Size() >= ledger.MaxBatchSize-2
 }
 
 // prepareCommit collects the changes that fit into one commit. One key is reserved for the
@@ -312,32 +301,31 @@
 		return commit, err
 	}
 	o.takeJobs(commit, division[newJobs])
-	for _, r := range commit.recorded.States {
-		commit.batch.States = append(commit.batch.States, ledger.StateRecord{Job: r.Job, Data: r.Data, Final: r.Final()})
-	}
-	commit.batch.Fleet, commit.batch.FleetParts, err = encodeFleet(commit.recorded)
+	err = commit.encode()
 	if room := ledger.MaxBatchSize - commit.batch.Size(); room >= 2 {
 		commit.recorded.Removed = o.core.Expired(time.Now(), room/2)
 		commit.batch.Removed = commit.recorded.Removed
 	}
-	if commit.batch.Size() > 0 {
-		commit.tail.Count++
-	}
+	commit.setTail(o.tail)
 	return commit, err
 }
 
 // takeJobs moves at most limit of the jobs in commitQueue to a commit. A job whose queue is not
-// recorded waits for the commit that does. The caller holds o.mu.
+// recorded waits for the commit that does, or is refused if the store doesn't take the record.
+// The caller holds o.mu.
 func (o *Owner) takeJobs(commit *pendingCommit, limit int) {
 	var left []*acceptance
+	now := time.Now()
 	for _, a := range o.commitQueue {
+		if retry, deferred := o.core.SettingsDeferred(a.job.Queue, a.job.Team, now); deferred {
+			o.respond(a, Answer{Outcome: Refused, Retry: retry, Reason: "queue or team not recorded"})
+			continue
+		}
 		if len(commit.accepted) == limit || !o.core.SettingsRecorded(commit.recorded, a.job) {
 			left = append(left, a)
 			continue
 		}
-		a.inCommit = true
-		commit.accepted = append(commit.accepted, a)
-		commit.batch.Jobs = append(commit.batch.Jobs, a.job)
+		commit.addJob(a)
 	}
 	o.commitQueue = left
 }
@@ -358,20 +346,22 @@
 		o.applyCommit(commit)
 		return
 	}
+	if invalid, ok := errors.Into[*store.Invalid](err); ok {
+		// The store doesn't take the records as they are; the tail is as before.
+		o.commit = nil
+		o.isolate(commit, invalid)
+		wake(o.commitWake)
+		return
+	}
 	if _, ok := errors.Into[*ledger.Unwritten](err); ok {
 		o.commit, o.commitRefusedAt = nil, time.Now()
-		o.core.CommitFailed(commit.recorded)
-		o.respondAll(commit, Answer{Outcome: Refused, Retry: retryAfterStoreLoss, Reason: "store lost"})
+		o.putBack(commit, Answer{Outcome: Refused, Retry: retryAfterStoreLoss, Reason: "store lost"})
+		o.putBackDivided(Answer{Outcome: Refused, Retry: retryAfterStoreLoss, Reason: "store lost"})
 		wake(o.commitWake)
 		return
 	}
 	o.respondAll(commit, Answer{Outcome: Unsettled, Retry: retryAfterOwnerChange, Reason: err.Error()})
-	if _, ok := errors.Into[*store.Invalid](err); ok {
-		// The store doesn't take the records as they are; the tail is as before.
-		o.commit = nil
-		o.core.CommitFailed(commit.recorded)
-		return
-	}
+	o.putBackDivided(Answer{Outcome: Refused, Retry: retryAfterOwnerChange, Reason: "owner replaced"})
 	o.active = false
 }
 
@@ -388,7 +378,7 @@
 		o.respond(a, Answer{Outcome: Done})
 	}
 	wake(o.planWake)
-	if len(o.commitQueue) > 0 || o.core.Unrecorded() {
+	if len(o.commitQueue)+len(o.divided) > 0 || o.core.Unrecorded() {
 		wake(o.commitWake)
 	}
 }
--- a/owner/term.go
+++ b/owner/term.go
@@ -49,8 +49,7 @@
 	case o.core != nil && replaced == o.tail:
 		if commit != nil {
 			o.config.Log.Info("commit in doubt was not carried out", "epoch", commit.epoch, "keys", commit.batch.Size())
-			o.core.CommitFailed(commit.recorded)
-			o.respondAll(commit, Answer{Outcome: Refused, Retry: retryAfterOwnerChange, Reason: "owner replaced"})
+			o.putBack(commit, Answer{Outcome: Refused, Retry: retryAfterOwnerChange, Reason: "owner replaced"})
 		}
 		return true
 	case o.core != nil && commit != nil && replaced == commit.tail:
@@ -102,6 +101,7 @@
 		}
 	}
 	o.commitQueue = nil
+	o.putBackDivided(Answer{Outcome: Refused, Retry: retryAfterOwnerChange, Reason: "owner replaced"})
 }
 
 // HandOver prepares for a change of owner: it stops planning, so that no new orders
@@ -116,7 +116,7 @@
 	o.mu.Unlock()
 	for ctx.Err() == nil {
 		o.mu.Lock()
-		unfinished := o.active && (o.core.Unrecorded() || !o.commitStartedAt.IsZero() || len(o.commitQueue) > 0)
+		unfinished := o.active && (o.core.Unrecorded() || !o.commitStartedAt.IsZero() || len(o.commitQueue)+len(o.divided) > 0)
 		o.mu.Unlock()
 		if !unfinished {
 			return
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -206,6 +206,10 @@
 	fleetChanged            bool
 	changedParts            map[int]int64
 	lastChange, recordAfter int64
+	// replacesList is set if the record of an earlier version listed VMs.
+	replacesList bool
+	// deferrals holds, by name, the records that the store does not take.
+	deferrals map[string]deferral
 	// forecasts holds what the admission of jobs goes by.
 	forecasts forecasts
 }
@@ -217,6 +221,8 @@
 	// expired and those that were not found on their VM. Unanswered counts the start
 	// orders without an answer.
 	Starts, Ends, Failures, Lapses, Unanswered int64
+	// Deferred counts the records that the store did not take, each time that they were tried.
+	Deferred int64
 	// Refused counts the jobs that were refused for want of room, by reason.
 	Refused Refusals
 	// Crashes counts the VMs that have crashed while they ran tasks, Trials the starts of
@@ -391,6 +397,7 @@
 		machineOrders:   make(map[string]time.Time),
 		blockedMachines: make(map[string]time.Time),
 		changedParts:    make(map[int]int64),
+		deferrals:       make(map[string]deferral),
 
 		withUnrecordedEnds: make(map[*vm]bool),
 		startsInFlight:     make(map[Run]time.Time),
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -28,6 +28,8 @@
 	// Queues and Teams list the queues and the teams that have or had accepted jobs.
 	Queues []QueueRecord `json:"-"`
 	Teams  []TeamRecord  `json:"-"`
+	// EarlierList is set if the record of an earlier version lists VMs.
+	EarlierList bool `json:"-"`
 }
 
 // RetiredVM is the record of a VM whose machine was moved or sent to maintenance.
@@ -67,6 +69,16 @@
 	Retired []RetiredVM   `json:"retired,omitempty"`
 	Queues  []QueueRecord `json:"queues,omitempty"`
 	Teams   []TeamRecord  `json:"teams,omitempty"`
+	// encoded is the stored form once it is known.
+	encoded []byte
+}
+
+// Encode returns the stored form of the part.
+func (p FleetPart) Encode() ([]byte, error) {
+	if p.encoded != nil {
+		return p.encoded, nil
+	}
+	return json.Marshal(p)
 }
 
 // FleetParts is the number of parts of the record of the VMs, the queues and the teams.
@@ -98,32 +110,62 @@
 	c.recordAfter = c.lastChange
 }
 
-// partsMissing reports whether parts are not recorded yet that the rest of the record of
+// PartsMissing reports whether parts are not recorded yet that the rest of the record of
 // the fleet relies on: an owner that has left must have recorded all VMs, and so must one
 // that replaces the record of an earlier version.
-func (c *Core) partsMissing() bool {
-	for _, change := range c.changedParts {
-		if change <= c.recordAfter {
+// A part that the store does not take is not waited for, unless the record of an earlier
+// version lists its VMs: until such a part is recorded, its VMs get no tasks that its last
+// record does not allow for.
+func (c *Core) PartsMissing() bool {
+	for n, change := range c.changedParts {
+		if change <= c.recordAfter && (c.replacesList || !c.defers(partName(n))) {
 			return true
 		}
 	}
 	return false
 }
 
+// partsToTake returns the number of changed parts that may be in a batch.
+func (c *Core) partsToTake() int {
+	if len(c.deferrals) == 0 {
+		return len(c.changedParts)
+	}
+	n := 0
+	for number := range c.changedParts {
+		if !c.defers(partName(number)) {
+			n++
+		}
+	}
+	return n
+}
+
 // takeParts returns at most limit of the changed parts of the record of the VMs, those
 // first that have been out of date for longest.
-func (c *Core) takeParts(limit int, now time.Time) []FleetPart {
+func (c *Core) takeParts(limit int, now time.Time) ([]FleetPart, error) {
 	numbers := slices.SortedFunc(maps.Keys(c.changedParts), func(a, b int) int {
 		return cmp.Or(cmp.Compare(c.changedParts[a], c.changedParts[b]), cmp.Compare(a, b))
 	})
+	numbers = slices.DeleteFunc(numbers, func(n int) bool { return c.defers(partName(n)) })
 	numbers = numbers[:max(min(limit, len(numbers)), 0)]
+	out := c.parts(numbers, now)
+	for i := range out {
+		var err error
+		if out[i].encoded, err = json.Marshal(out[i]); err != nil {
+			return out, err
+		}
+		delete(c.changedParts, out[i].Number)
+	}
+	return out, nil
+}
+
+// parts returns the parts of the record of the VMs with the given numbers.
+func (c *Core) parts(numbers []int, now time.Time) []FleetPart {
 	if len(numbers) == 0 {
 		return nil
 	}
 	index := make(map[int]int, len(numbers))
 	out := make([]FleetPart, len(numbers))
 	for i, n := range numbers {
-		delete(c.changedParts, n)
 		index[n] = i
 		out[i] = FleetPart{Number: n, VMs: []Place{}}
 	}
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -24,6 +24,7 @@
 func (c *Core) RestoreFleet(f Fleet, recordedBefore time.Time, maxLease time.Duration) {
 	c.blockMachines(f, recordedBefore)
 	c.fleetChanged = c.fleetChanged || f.HandedOver || len(f.VMs) > 0
+	c.replacesList = f.EarlierList
 	until := recordedBefore.Add(maxLease)
 	c.restoredBegun = f.Begun
 	for n, machines := range f.Begun {
--- a/schedule/plan.go
+++ b/schedule/plan.go
@@ -78,6 +78,7 @@
 	c.settleCrashes(now)
 	c.refreshSpeeds(now)
 	c.copySlowRuns(now)
+	c.endDeferrals(now)
 	for id, tj := range c.active {
 		switch {
 		case tj.state.Phase().Final():
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -23,9 +23,11 @@
 // return: those of states, and those of parts of the fleet.
 func (c *Core) UnrecordedKeys() (states, parts int) {
 	for _, tj := range c.dirty {
-		states += stateKeys(tj.state.Phase())
+		if !c.defersState(tj) {
+			states += stateKeys(tj.state.Phase())
+		}
 	}
-	return states, len(c.changedParts)
+	return states, c.partsToTake()
 }
 
 // stateKeys returns how many keys the record of a state takes: that of a job that has ended
@@ -76,17 +78,15 @@
 // the limits, if that has changed and may be recorded.
 func (c *Core) TakeRecords(stateLimit, partLimit int, now time.Time) (RecordBatch, error) {
 	var out RecordBatch
-	out.Parts = c.takeParts(partLimit, now)
-	for _, tj := range c.statesToTake(stateLimit) {
-		data, err := json.Marshal(tj.state)
-		if err != nil {
-			return out, err
-		}
-		out.States = append(out.States, StateRecord{tj.ID, data, tj.version, tj.state.Phase()})
-		delete(c.dirty, tj.ID)
+	var err error
+	if out.Parts, err = c.takeParts(partLimit, now); err != nil {
+		return out, err
+	}
+	if out.States, err = c.takeStates(stateLimit); err != nil {
+		return out, err
 	}
 	writes := len(out.States) > 0 || len(out.Parts) > 0
-	if (c.fleetChanged || writes && c.learnedOutdated(now)) && !c.partsMissing() {
+	if (c.fleetChanged || writes && c.learnedOutdated(now)) && c.mayTakeFleet() {
 		learned, err := c.takeLearned(now)
 		if err != nil {
 			return out, err
@@ -99,6 +99,23 @@
 	return out, nil
 }
 
+// takeStates returns the changed states that a batch holds.
+func (c *Core) takeStates(limit int) ([]StateRecord, error) {
+	var out []StateRecord
+	for _, tj := range c.statesToTake(limit) {
+		data, err := json.Marshal(tj.state)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, StateRecord{tj.ID, data, tj.version, tj.state.Phase()})
+		delete(c.dirty, tj.ID)
+	}
+	return out, nil
+}
+
+// mayTakeFleet reports whether the record of the fleet without its VMs may be in a batch.
+func (c *Core) mayTakeFleet() bool { return !c.defers(fleetName) && !c.PartsMissing() }
+
 // unendedShare is the part of the keys for states, as a divisor, that jobs that have not
 // ended may take however many have ended.
 const unendedShare = 4
@@ -110,9 +127,11 @@
 	list := sortedValues(c.dirty, func(a, b *trackedJob) int { return cmp.Compare(a.dirtySince, b.dirtySince) })
 	var ended, others []*trackedJob
 	for _, tj := range list {
-		if tj.state.Phase().Final() {
+		switch {
+		case c.defersState(tj):
+		case tj.state.Phase().Final():
 			ended = append(ended, tj)
-		} else {
+		default:
 			others = append(others, tj)
 		}
 	}
@@ -184,6 +203,7 @@
 // Committed handles a batch that was committed to the store: it notes what is recorded now,
 // and drops the removed jobs.
 func (c *Core) Committed(r RecordBatch) {
+	c.endDeferralsOf(r)
 	for _, s := range r.States {
 		tj := c.jobs[s.Job]
 		if tj == nil {
@@ -209,7 +229,7 @@
 		delete(c.jobs, id)
 	}
 	if r.Fleet != nil {
-		c.handOverRecorded = r.Fleet.HandedOver
+		c.handOverRecorded, c.replacesList = r.Fleet.HandedOver, false
 	}
 	for _, part := range r.Parts {
 		c.queuesCommitted(part.Queues)
@@ -247,7 +267,12 @@
 }
 
 // Unrecorded reports whether there are changes to jobs or to the fleet that
-// [Core.TakeRecords] has yet to return.
+// [Core.TakeRecords] has yet to return, other than those of records that the store does not
+// take.
 func (c *Core) Unrecorded() bool {
-	return len(c.dirty) > 0 || c.fleetChanged || len(c.changedParts) > 0
+	if len(c.deferrals) == 0 {
+		return len(c.dirty) > 0 || c.fleetChanged || len(c.changedParts) > 0
+	}
+	states, parts := c.UnrecordedKeys()
+	return states > 0 || parts > 0 || c.fleetChanged && c.mayTakeFleet()
 }
