Record of a VM only what the next owner needs, and only VMs of known pools

Cause: the part of the fleet copied all of an entry into its record: labels, data centre and pool, whatever their length, for every VM that any writer had listed. Several entries that share one of 32 parts did the same without any escapes.

Now the record of a VM holds no labels, data centre or machine name of over 1 KB: the next owner has them from the list, and a VM that is not listed gets no tasks. A VM in a pool that no configuration has had is not used at all, so neither recorded nor called, until one has it; the name of a pool in a record is therefore one of the configuration.

TestEndsAreRecordedUnderLoad names the pool of its other VMs in the configuration, so that they change parts as before.

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -202,6 +202,7 @@
 	jobLedger := ledger.New(ledger.Config{Store: n.relay, Limits: c.StoreLimits, Prefix: c.Prefix, Run: c.Self.Run, AttemptFailed: func(err error) {
 		c.Log.Warn("commit attempt failed", "error", err)
 	}})
+	c.Schedule.MaxRecordBytes = c.StoreLimits.ValueBytes
 	n.owner = owner.New(owner.Config{
 		Ledger: jobLedger, Schedule: c.Schedule,
 		HoldsOwnership: n.holdsOwnership,
--- a/owner/backlog_test.go
+++ b/owner/backlog_test.go
@@ -70,7 +70,7 @@
 			Log:            hclog.NewNullLogger(),
 		})
 		defer o.Close()
-		o.SetView(schedule.View{Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p"}}})
+		o.SetView(schedule.View{Queues: map[string]schedule.Queue{"q": {Name: "q", Pool: "p"}}, Pools: []string{"r"}})
 		elect(t, o, k, 1)
 		o.SetVMs([]schedule.VM{listed})
 		time.Sleep(2 * time.Second)
--- a/owner/invalid_test.go
+++ b/owner/invalid_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -102,7 +103,7 @@
 	}
 	f.Owner = owner.New(owner.Config{
 		Ledger:         ledger.New(ledger.Config{Store: s, Limits: limits, Prefix: "t/", Run: "a"}),
-		Schedule:       schedule.Config{Retention: time.Minute, MaxLease: 6 * time.Second},
+		Schedule:       schedule.Config{Retention: time.Minute, MaxLease: 6 * time.Second, MaxRecordBytes: limits.ValueBytes},
 		HoldsOwnership: func() bool { return true },
 		VMs:            f.vms,
 		Machines:       standin.NewMachines(standin.MachinesConfig{}),
@@ -201,3 +202,45 @@
 		g.Expect(f.phase(job.ID(fmt.Sprint("job-", i)))).To(gomega.Equal(want), "job %d", i)
 	}
 }
+
+// storeLimits are the sizes that [standin.KeyValue] accepts.
+var storeLimits = store.Limits{KeyBytes: 200, ValueBytes: 1 << 20}
+
+// TestListedVMsWithLongTexts guards against entries in the list of VMs that make a record of the
+// fleet longer than the store takes: one or several, whichever text is long, with signs that are
+// escaped or not.
+func TestListedVMsWithLongTexts(t *testing.T) {
+	long := func(n int) string { return strings.Repeat("x", n) }
+	for _, c := range []struct {
+		name  string
+		count int
+		odd   schedule.VM
+	}{
+		{"labels", 1, schedule.VM{Pool: "p", Labels: slices.Repeat([]string{`<a href="/">&nbsp;7</a>`}, 28_000)}},
+		{"plain labels of several", 64, schedule.VM{Pool: "p", Labels: []string{long(300_000), long(300_000)}}},
+		{"data centres of several", 64, schedule.VM{Pool: "p", Centre: long(600_000)}},
+		{"data centres of several, draining", 64, schedule.VM{Pool: "p", Centre: long(600_000), Draining: true}},
+		{"pool", 1, schedule.VM{Pool: long(900_000)}},
+		{"pools of several", 64, schedule.VM{Pool: long(300_000)}},
+		{"pool that needs escapes", 1, schedule.VM{Pool: strings.Repeat("<", 600_000)}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := standin.NewKeyValue()
+				f := newFixture(t, k, k, storeLimits, 4)
+				list := slices.Clone(f.listed)
+				for i := range c.count {
+					odd := c.odd
+					odd.ID, odd.Address, odd.Capacity = fmt.Sprint("odd-", i), f.listed[0].Address, f.listed[0].Capacity
+					list = append(list, odd)
+				}
+				f.SetVMs(list)
+				checkNeighbours(f)
+				g := gomega.NewWithT(t)
+				g.Expect(k.Invalid()).To(gomega.BeZero())
+				g.Expect(f.Deferred()).To(gomega.BeZero())
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -236,6 +236,9 @@
 	o.configured = true
 	if o.core != nil {
 		o.core.SetView(v, time.Now())
+		if o.active {
+			o.keepSessions()
+		}
 		wake(o.planWake)
 		wake(o.commitWake)
 	}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -73,6 +73,9 @@
 	LateMachineOrders time.Duration
 	// Retention is how long a job is kept after it has ended.
 	Retention time.Duration
+	// MaxRecordBytes is the greatest length of a record that the store takes; zero means no
+	// limit.
+	MaxRecordBytes int
 	// IgnoreSpeeds turns off what follows from the speeds of VMs.
 	IgnoreSpeeds bool
 	Log          hclog.Logger
@@ -89,7 +92,11 @@
 	view   View
 	vms    map[string]*vm
 	pools  map[string]*pool
-	jobs   map[job.ID]*trackedJob
+	// knownPools holds the pools that a configuration has or had, and ofUnknownPools the listed
+	// VMs of other pools.
+	knownPools     map[string]bool
+	ofUnknownPools []VM
+	jobs           map[job.ID]*trackedJob
 	// active holds the jobs that have not ended. A job that has ended since the last tick
 	// may still be there.
 	active map[job.ID]*trackedJob
@@ -398,6 +405,7 @@
 		blockedMachines: make(map[string]time.Time),
 		changedParts:    make(map[int]int64),
 		deferrals:       make(map[string]deferral),
+		knownPools:      make(map[string]bool),
 
 		withUnrecordedEnds: make(map[*vm]bool),
 		startsInFlight:     make(map[Run]time.Time),
@@ -429,6 +437,22 @@
 	}
 	c.setWaves(v.Waves, now)
 	c.reassignStages(now)
+	c.addPools(now)
+}
+
+// addPools notes the pools of the configuration, and uses the listed VMs of those that are new.
+func (c *Core) addPools(now time.Time) {
+	for _, name := range slices.Concat(c.view.Pools, []string{c.view.Spare}) {
+		c.knownPools[name] = name != ""
+	}
+	for _, q := range c.view.Queues {
+		c.knownPools[q.Pool] = true
+	}
+	unknown := c.ofUnknownPools
+	c.ofUnknownPools = nil
+	for _, listed := range unknown {
+		c.listVM(listed, now)
+	}
 }
 
 // reassignStages moves stages to the pool of their queue if that has changed, or was not known
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -43,6 +43,7 @@
 
 // Place is the record of one VM that may run tasks.
 type Place struct {
+	// VM lacks names that are too long for a record; see [maxRecordedName].
 	VM
 	// Machine is the machine on which the VM was last listed; empty if it is not known.
 	Machine string `json:"machine,omitempty"`
@@ -149,8 +150,7 @@
 	numbers = numbers[:max(min(limit, len(numbers)), 0)]
 	out := c.parts(numbers, now)
 	for i := range out {
-		var err error
-		if out[i].encoded, err = json.Marshal(out[i]); err != nil {
+		if err := c.encodePart(&out[i]); err != nil {
 			return out, err
 		}
 		delete(c.changedParts, out[i].Number)
@@ -193,7 +193,7 @@
 // that the record lists as exact, so that the next owner can rely on Left.
 func (c *Core) place(v *vm, now time.Time) Place {
 	// The runs of a VM with a gate are not known.
-	out := Place{VM: v.VM, Machine: v.lastMachine, Pools: c.poolsOn(v).record(), Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
+	out := Place{VM: recordedVM(v.VM), Machine: recordedName(v.lastMachine), Pools: c.poolsOn(v).record(), Exact: (c.handingOver || v.silent) && c.gates[v.ID] == nil}
 	if !out.Exact {
 		return out
 	}
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -71,6 +71,8 @@
 	storeDown bool
 	// ignoreSpeeds is that of the configuration of the owners that follow.
 	ignoreSpeeds bool
+	// maxRecordBytes is that of the configuration of the owners that follow.
+	maxRecordBytes int
 	// slowness is how many times as long batch tasks run on a VM, if not once.
 	slowness map[string]float64
 	// gone holds the VMs that have crashed for good. They are not listed any more.
@@ -140,7 +142,7 @@
 	h.core = schedule.New(schedule.Config{
 		Epoch: h.epoch, MaxLease: maxLease, Retention: time.Minute, MaintenanceTime: 2 * time.Second, MoveTime: 1500 * time.Millisecond,
 		MaxStopTime: 900 * time.Millisecond, RestoreTime: h.restoreTime, MachineOrderGap: h.machineOrderGap, LateMachineOrders: h.lateMachineOrders,
-		FarFactor: h.farFactor, IgnoreSpeeds: h.ignoreSpeeds, Log: hclog.NewNullLogger(),
+		FarFactor: h.farFactor, IgnoreSpeeds: h.ignoreSpeeds, MaxRecordBytes: h.maxRecordBytes, Log: hclog.NewNullLogger(),
 	})
 	h.core.SetView(h.view, h.now)
 	fleet := h.recordedFleet
--- a/schedule/queue.go
+++ b/schedule/queue.go
@@ -85,6 +85,9 @@
 		pools := poolSetOf(r.Pools)
 		q := &queue{name: r.Name, newest: r.Settings, recordedQueue: r.Settings, pools: pools, recorded: pools, usedAt: now}
 		c.queues[r.Name] = q
+		for _, name := range pools.names {
+			c.knownPools[name] = true
+		}
 		c.configureQueue(q)
 	}
 }
--- a/schedule/view.go
+++ b/schedule/view.go
@@ -39,6 +39,8 @@
 	Version int64
 	Queues  map[string]Queue
 	Teams   map[string]Team
+	// Pools lists the names of all pools. Those of the queues and Spare may be left out.
+	Pools []string
 	// Spare is the name of the pool whose machines are switched off; empty means that there
 	// is none.
 	Spare string
--- a/schedule/vm.go
+++ b/schedule/vm.go
@@ -155,19 +155,19 @@
 // a new epoch is needed.
 func (c *Core) FencesUsedUp() bool { return c.serial >= maxFenceSerial-fenceReserve }
 
-// SetVMs replaces the platform's list of VMs.
+// SetVMs replaces the platform's list of VMs. A VM in a pool that no configuration has had is not
+// used until one has it.
 func (c *Core) SetVMs(list []VM, now time.Time) {
 	present := make(map[string]bool, len(list))
+	unknown := len(c.ofUnknownPools)
+	c.ofUnknownPools = nil
 	for _, listed := range list {
-		if r, ok := c.retired[listed.ID]; ok && listed.Born.Equal(r.born) && now.Sub(r.at) < retiredGracePeriod {
-			continue
-		}
-		present[listed.ID] = true
-		v := c.vms[listed.ID]
-		if v == nil {
-			v = c.addVM(listed)
+		if c.listVM(listed, now) {
+			present[listed.ID] = true
 		}
-		c.updateVM(v, listed, now)
+	}
+	if n := len(c.ofUnknownPools); n != unknown {
+		c.config.Log.Info("VMs of unknown pools listed by the platform; not using them", "vms", n, "before", unknown)
 	}
 	maps.DeleteFunc(c.retired, func(_ string, r retirement) bool { return now.Sub(r.at) >= retiredGracePeriod })
 	for id, v := range c.vms {
@@ -179,6 +179,24 @@
 	}
 }
 
+// listVM takes over the entry of a VM in the platform's list, and reports whether the entry names
+// a VM to use.
+func (c *Core) listVM(listed VM, now time.Time) bool {
+	if r, ok := c.retired[listed.ID]; ok && listed.Born.Equal(r.born) && now.Sub(r.at) < retiredGracePeriod {
+		return false
+	}
+	if !c.knownPools[listed.Pool] {
+		c.ofUnknownPools = append(c.ofUnknownPools, listed)
+		return false
+	}
+	v := c.vms[listed.ID]
+	if v == nil {
+		v = c.addVM(listed)
+	}
+	c.updateVM(v, listed, now)
+	return true
+}
+
 // retiredGracePeriod is how long the platform's list may still show a VM after its
 // machine was moved or sent to maintenance.
 const retiredGracePeriod = 10 * time.Second
