Write records without HTML escapes, and refuse a job that is too long at once

Callers with a body of legal size (238 KB) whose texts are full of <, > or & were answered 504 after their whole deadline, each time they tried, and the record of 1,409 KB was sent to the store again and again.

Cause: encoding/json writes each of these signs as six bytes, and nothing compared the record of a job with what the store takes before the job was queued.

Records are now written without these escapes, which readers of any version understand, and so is a job on its way to the owner. A job whose record is longer than the store takes all the same is refused with 400, its length and the limit, by the entry that has read it and again by the owner. A bound from the lengths of the texts keeps ordinary jobs from being encoded for that.

TestMaxEncodedBytes holds the bound.

--- a/job/job.go
+++ b/job/job.go
@@ -178,6 +178,27 @@
 	return sum
 }
 
+// The greatest length of JSON texts.
+const (
+	// maxEscapedByte is that of a byte of a string.
+	maxEscapedByte = 6
+	// maxEncodedStep is that of a step without its strings and dependencies, and
+	// maxEncodedNumber that of a number in a list. maxEncodedJob is that of a job without its
+	// strings and steps.
+	maxEncodedStep, maxEncodedNumber, maxEncodedJob = 512, 21, 512
+)
+
+// MaxEncodedBytes returns a bound of the length of the job in JSON.
+func (j *Job) MaxEncodedBytes() int {
+	texts, numbers := len(j.ID)+len(j.Queue)+len(j.Team)+len(j.Spec), 0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		texts += len(s.Label) + len(s.PreferredRack) + len(s.Image)
+		numbers += len(s.After)
+	}
+	return maxEscapedByte*texts + maxEncodedNumber*numbers + maxEncodedStep*len(j.Steps) + maxEncodedJob
+}
+
 // Task identifies one task of an occurrence of a job.
 type Task struct {
 	Job        ID
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -68,3 +71,27 @@
 	loaded.SetCrashes(known, job.Crashes{})
 	g.Expect(loaded.Crashes(known)).To(gomega.Equal(job.Crashes{}))
 }
+
+// TestMaxEncodedBytes guards against jobs that are accepted by a bound that their record exceeds.
+func TestMaxEncodedBytes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := strings.Repeat("<\x01\u2028\xff\"", 100)
+	full := job.Step{
+		Count: math.MinInt, Need: job.Resources{CPU: math.MinInt64, Memory: math.MinInt64, GPU: math.MinInt64}, Estimate: math.MinInt64,
+		After: []int{math.MinInt, math.MinInt}, Gang: true, SingleRack: true, Label: text, PreferredRack: text, MaxPerVM: math.MinInt, Speculative: true,
+		Service: true, WritesCheckpoints: true, Image: text, LatencyTarget: math.MinInt64, Filler: true, MaxUnavailable: math.MinInt, Budgeted: true,
+	}
+	for _, j := range []job.Job{
+		{},
+		{Steps: make([]job.Step, 1000)},
+		{
+			ID: "0123456789abcdef", Queue: text, Team: text, Spec: text, Steps: slices.Repeat([]job.Step{full}, 10), ScheduledOccurrences: math.MinInt,
+			FirstDue: time.Date(job.MaxYear, 12, 31, 23, 59, 59, 123456789, time.FixedZone("", -3600)), Interval: math.MinInt64,
+			Accepted: time.Date(job.MaxYear, 12, 31, 23, 59, 59, 123456789, time.FixedZone("", -3600)), Epoch: math.MinInt64,
+		},
+	} {
+		data, err := json.Marshal(j)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(len(data)).To(gomega.BeNumerically("<=", j.MaxEncodedBytes()))
+	}
+}
--- a/jobs/route.go
+++ b/jobs/route.go
@@ -123,6 +123,9 @@
 	if err := j.Check(); err != nil {
 		return owner.Answer{Outcome: owner.Invalid, Reason: err.Error()}
 	}
+	if refusal, ok := n.owner.CheckSize(j); !ok {
+		return refusal
+	}
 	return n.forward(ctx, "submit",
 		func(ctx context.Context) owner.Answer { return n.owner.Submit(ctx, j) },
 		func(ctx context.Context, o shard.Owner) (owner.Answer, error) {
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math"
 	"strconv"
 	"sync"
 	"time"
@@ -31,6 +32,7 @@
 
 	"almondcove/delay"
 	"almondcove/job"
+	"almondcove/record"
 	"almondcove/store"
 )
 
@@ -206,6 +208,22 @@
 // Unwrap returns the cause.
 func (e *Unsettled) Unwrap() error { return e.Cause }
 
+// CheckJob returns a [*store.TooLarge] error if the record of a job is longer than the store
+// takes.
+func (l *Ledger) CheckJob(j *job.Job) error {
+	if l.config.Limits.ValueBytes == 0 || j.MaxEncodedBytes() <= l.config.Limits.ValueBytes {
+		return nil
+	}
+	// The members that are set when the job is accepted are as long as they can be.
+	longest := *j
+	longest.Accepted, longest.Epoch = time.Date(job.MaxYear, 12, 31, 23, 59, 59, 1, time.FixedZone("", -1)), math.MaxInt64
+	value, err := record.Encode(&longest)
+	if err != nil {
+		return &store.Invalid{Call: "job " + string(j.ID), Cause: err}
+	}
+	return l.config.Limits.CheckPut(store.Put{Key: l.jobKey(j.ID), Value: value})
+}
+
 // TermEnded reports that the term in which a commit began has ended.
 type TermEnded struct {
 	Epoch int64
@@ -349,7 +367,7 @@
 func (l *Ledger) encodePuts(b Batch) ([]store.Put, error) {
 	var out []store.Put
 	for _, j := range b.Jobs {
-		value, err := json.Marshal(j)
+		value, err := record.Encode(j)
 		if err != nil {
 			return nil, &store.Invalid{Call: "job " + string(j.ID), Cause: err}
 		}
--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"almondcove/ledger"
+	"almondcove/record"
 	"almondcove/schedule"
 	"almondcove/store"
 )
@@ -23,7 +24,7 @@
 // encodeFleet returns the records of the fleet in a batch, in their stored form.
 func encodeFleet(r schedule.RecordBatch) (fleet []byte, parts map[int][]byte, err error) {
 	if r.Fleet != nil {
-		fleet, err = json.Marshal(fleetRecord{Fleet: *r.Fleet, VMs: json.RawMessage(noVMs)})
+		fleet, err = record.Encode(fleetRecord{Fleet: *r.Fleet, VMs: json.RawMessage(noVMs)})
 	}
 	parts = make(map[int][]byte, len(r.Parts))
 	for _, part := range r.Parts {
--- a/owner/invalid_test.go
+++ b/owner/invalid_test.go
@@ -244,3 +244,48 @@
 		})
 	}
 }
+
+// TestJobsLongerAsRecords guards against jobs of legal size that are not recorded because signs
+// are escaped, and against those that are too long all the same and wait until their deadline.
+func TestJobsLongerAsRecords(t *testing.T) {
+	labelled := func(id, label string, steps int) *job.Job {
+		j := plainJob(id, 1, time.Second)
+		j.Steps = slices.Repeat(j.Steps, steps)
+		for i := range j.Steps {
+			j.Steps[i].Image = label
+		}
+		return j
+	}
+	for _, c := range []struct {
+		name    string
+		job     *job.Job
+		outcome owner.Outcome
+	}{
+		{"signs of HTML", labelled("long", strings.Repeat("<&>", 400), 200), owner.Done},
+		{"line separators", labelled("long", strings.Repeat("\u2028", 400), 200), owner.Done},
+		{"control signs", labelled("long", strings.Repeat("\x01", 1000), 200), owner.Invalid},
+		{"plain texts", labelled("long", strings.Repeat("x", 6000), 200), owner.Invalid},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				k := standin.NewKeyValue()
+				f := newFixture(t, k, k, storeLimits, 4)
+				began := time.Now()
+				neighbour := make(chan owner.Answer, 1)
+				go func() { neighbour <- f.submit(plainJob("neighbour", 1, time.Second)) }()
+				answer := f.submit(c.job)
+				g.Expect(answer.Outcome).To(gomega.Equal(c.outcome), answer.Reason)
+				g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+				g.Expect(<-neighbour).To(gomega.HaveField("Outcome", owner.Done))
+				g.Expect(k.Invalid()).To(gomega.BeZero())
+				if c.outcome == owner.Invalid {
+					g.Expect(answer.Reason).To(gomega.ContainSubstring("limit 1048576"))
+					g.Expect(answer.Retry).To(gomega.BeZero())
+					g.Expect(f.Show("long", owner.Scope{}).Outcome).To(gomega.Equal(owner.NoJob))
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -18,6 +18,9 @@
 	if err := j.Check(); err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
+	if refusal, ok := o.CheckSize(j); !ok {
+		return refusal
+	}
 	o.mu.Lock()
 	if a, ok := o.checkOwnership(); !ok {
 		o.mu.Unlock()
@@ -45,6 +48,15 @@
 	return o.awaitAnswer(ctx, a)
 }
 
+// CheckSize reports whether the store takes the record of a job. If not, it returns the answer to
+// give. Any entry may call it.
+func (o *Owner) CheckSize(j *job.Job) (Answer, bool) {
+	if err := o.config.Ledger.CheckJob(j); err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}, false
+	}
+	return Answer{}, true
+}
+
 // checkOwnership reports whether this entry owns the jobs and may answer requests
 // about them. If not, it returns the answer to give. The caller holds o.mu.
 func (o *Owner) checkOwnership() (Answer, bool) {
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -19,6 +19,7 @@
 	"almondcove/job"
 	"almondcove/owner"
 	"almondcove/peer/wire"
+	"almondcove/record"
 	"almondcove/shard"
 	"almondcove/store"
 )
@@ -226,7 +227,7 @@
 
 // Submit submits a job to the owner at an address.
 func (l *JobLinks) Submit(ctx context.Context, to netip.AddrPort, j *job.Job) (owner.Answer, error) {
-	data, err := json.Marshal(j)
+	data, err := record.Encode(j)
 	if err != nil {
 		return owner.Answer{}, &store.Invalid{Call: "submit", Cause: err}
 	}
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"almondcove/record"
 )
 
 // Fleet is the record of the VMs and the maintenance waves, which the next owner needs in
@@ -79,7 +81,7 @@
 	if p.encoded != nil {
 		return p.encoded, nil
 	}
-	return json.Marshal(p)
+	return record.Encode(p)
 }
 
 // FleetParts is the number of parts of the record of the VMs, the queues and the teams.
--- a/schedule/oversize.go
+++ b/schedule/oversize.go
@@ -2,8 +2,9 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
+
+	"almondcove/record"
 )
 
 // maxRecordedName bounds the names in the record of a VM that the next owner can do without, and
@@ -36,7 +37,7 @@
 // it gives up what the part can do without: the list of the runs on VMs, for which the next owner
 // then waits, and after that VMs that can't run anything and get no tasks until they are recorded.
 func (c *Core) encodePart(part *FleetPart) (err error) {
-	part.encoded, err = json.Marshal(part)
+	part.encoded, err = record.Encode(part)
 	excess := len(part.encoded) - c.config.MaxRecordBytes
 	if err != nil || c.config.MaxRecordBytes == 0 || excess <= 0 {
 		return err
@@ -45,7 +46,7 @@
 	omitted := part.omitVMs(&excess, func(p Place) bool { return c.mayRunTasks(p.ID) })
 	c.config.Log.Warn("part of the fleet shortened", "part", part.Number, "bytes", len(part.encoded), "limit", c.config.MaxRecordBytes,
 		"inexact", inexact, "omitted", omitted)
-	part.encoded, err = json.Marshal(part)
+	part.encoded, err = record.Encode(part)
 	return err
 }
 
@@ -90,7 +91,7 @@
 
 func (p *Place) encodedBytes() int {
 	// Encoding can't fail, since the part was encoded.
-	data, _ := json.Marshal(p)
+	data, _ := record.Encode(p)
 	return len(data)
 }
 
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 	"time"
 
 	"almondcove/job"
+	"almondcove/record"
 )
 
 // markDirty marks the state of a job as changed, so that it is recorded.
@@ -103,7 +103,7 @@
 func (c *Core) takeStates(limit int) ([]StateRecord, error) {
 	var out []StateRecord
 	for _, tj := range c.statesToTake(limit) {
-		data, err := json.Marshal(tj.state)
+		data, err := record.Encode(tj.state)
 		if err != nil {
 			return out, err
 		}
