Bound the record of a job's state by what is open, not by what is done

Cause: the record listed each stage of each occurrence that had ever ended, each failed run and each crash, also those of tasks that are done.

The state in memory drops what it knows of single tasks of a complete occurrence, too.

What is open is bounded: occurrences of a schedule beyond the oldest that are not complete wait once what these may take, were all their tasks to fail and crash, comes to three quarters of the limit. That is 600 overlapping occurrences of 16 tasks at three attempts, and at least one of any size.

--- a/job/state.go
+++ b/job/state.go
@@ -1,9 +1,7 @@
 package job
 
 import (
-	"encoding/json"
 	"maps"
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -31,8 +29,14 @@
 // [NewState].
 type State struct {
 	job *Job
-	// done holds the indexes of the tasks of each stage that are done.
-	done map[Stage]*indexSet
+	// complete holds the occurrences of which all tasks are done. done holds, for the others,
+	// the indexes of the tasks of each stage that are done, and left how many tasks of each
+	// occurrence are not, if any is.
+	complete *indexSet
+	done     map[Stage]*indexSet
+	left     map[int]int
+	// tasks is the number of tasks of one occurrence.
+	tasks int
 	// failedRuns holds the numbers of the failed runs of each task.
 	failedRuns map[Task][]int
 	// crashes holds what is known of the crashes of VMs under each task.
@@ -98,7 +102,10 @@
 	}
 	return &State{
 		job:        j,
+		complete:   &indexSet{},
 		done:       make(map[Stage]*indexSet),
+		left:       make(map[int]int),
+		tasks:      tasks,
 		failedRuns: make(map[Task][]int),
 		crashes:    make(map[Task]Crashes),
 		remaining:  tasks * j.Occurrences(),
@@ -108,7 +115,7 @@
 // MarkDone records that a task has succeeded and reports whether that is new. A
 // task that the job does not have is ignored.
 func (s *State) MarkDone(t Task) bool {
-	if !s.valid(t) {
+	if !s.valid(t) || s.complete.has(t.Occurrence) {
 		return false
 	}
 	indexes := s.done[t.Stage()]
@@ -121,9 +128,27 @@
 	}
 	s.started = true
 	s.remaining--
+	if _, begun := s.left[t.Occurrence]; !begun {
+		s.left[t.Occurrence] = s.tasks
+	}
+	s.left[t.Occurrence]--
+	if s.left[t.Occurrence] == 0 {
+		s.completeOccurrence(t.Occurrence)
+	}
 	return true
 }
 
+// completeOccurrence drops what is known of the single tasks of an occurrence, all of which are
+// done.
+func (s *State) completeOccurrence(occurrence int) {
+	s.complete.add(occurrence)
+	delete(s.left, occurrence)
+	for i := range s.job.Steps {
+		delete(s.done, Stage{s.job.ID, occurrence, i})
+	}
+	maps.DeleteFunc(s.failedRuns, func(t Task, _ []int) bool { return t.Occurrence == occurrence })
+}
+
 // valid reports whether the job has such a task.
 func (s *State) valid(t Task) bool {
 	return t.Step >= 0 && t.Step < len(s.job.Steps) && t.Index >= 0 && t.Index < s.job.Steps[t.Step].Count &&
@@ -132,11 +157,17 @@
 
 // IsDone reports whether a task has succeeded.
 func (s *State) IsDone(t Task) bool {
-	return s.done[t.Stage()].has(t.Index)
+	return s.done[t.Stage()].has(t.Index) || s.complete.has(t.Occurrence) && s.valid(t)
 }
 
+// OccurrenceDone reports whether all tasks of an occurrence have succeeded.
+func (s *State) OccurrenceDone(occurrence int) bool { return s.complete.has(occurrence) }
+
 // StageDone reports whether all tasks of a stage have succeeded.
 func (s *State) StageDone(stage Stage) bool {
+	if s.complete.has(stage.Occurrence) {
+		return true
+	}
 	indexes := s.done[stage]
 	return indexes != nil && indexes.count == s.job.Steps[stage.Step].Count
 }
@@ -144,7 +175,7 @@
 // RecordFailure records that a run of a task has failed and reports whether that
 // is new. A task that the job does not have is ignored.
 func (s *State) RecordFailure(t Task, run int) bool {
-	if !s.valid(t) || slices.Contains(s.failedRuns[t], run) {
+	if !s.valid(t) || s.complete.has(t.Occurrence) || slices.Contains(s.failedRuns[t], run) {
 		return false
 	}
 	s.started = true
@@ -239,124 +270,3 @@
 func (s *State) Prune(j *Job) {
 	*s = State{job: j, started: true, finalPhase: s.Phase(), endedAt: s.endedAt, leftover: s.leftover}
 }
-
-// stateRecord is the stored form of a State. For a job that has ended it holds only
-// how and when the job ended.
-type stateRecord struct {
-	FinalPhase Phase           `json:"end,omitempty"`
-	Started    bool            `json:"started,omitempty"`
-	EndedAt    time.Time       `json:"ended,omitzero"`
-	Done       []stageRecord   `json:"done,omitempty"`
-	Failed     []failureRecord `json:"failed,omitempty"`
-	Crashed    []crashRecord   `json:"crashed,omitempty"`
-	// Queue and Team are those of a job that has ended, whose other record is deleted.
-	Queue string `json:"queue,omitempty"`
-	Team  string `json:"team,omitempty"`
-	// Kept holds the kept steps of a job that has ended.
-	Kept []keptRecord `json:"kept,omitempty"`
-}
-
-// keptRecord is the stored form of a kept step.
-type keptRecord struct {
-	Step   int       `json:"step,omitempty"`
-	Count  int       `json:"count"`
-	Need   Resources `json:"need"`
-	Filler bool      `json:"filler,omitempty"`
-}
-
-// stageRecord is the stored form of the tasks of a stage that are done.
-type stageRecord struct {
-	Occurrence int `json:"occurrence,omitempty"`
-	Step       int `json:"step,omitempty"`
-	// Indexes is the bitmap of an indexSet.
-	Indexes []uint64 `json:"set"`
-}
-
-// failureRecord is the stored form of the failed runs of a task.
-type failureRecord struct {
-	Occurrence int   `json:"occurrence,omitempty"`
-	Step       int   `json:"step,omitempty"`
-	Index      int   `json:"index,omitempty"`
-	Runs       []int `json:"runs"`
-}
-
-// crashRecord is the stored form of the crashes under a task.
-type crashRecord struct {
-	Occurrence int  `json:"occurrence,omitempty"`
-	Step       int  `json:"step,omitempty"`
-	Index      int  `json:"index,omitempty"`
-	Count      int  `json:"count,omitempty"`
-	Suspect    bool `json:"suspect,omitempty"`
-	Total      int  `json:"total,omitempty"`
-	Sure       int  `json:"sure,omitempty"`
-}
-
-// MarshalJSON returns the stored form, which Load reads.
-func (s *State) MarshalJSON() ([]byte, error) {
-	if s.Phase().Final() {
-		stored := stateRecord{
-			FinalPhase: s.Phase(), Started: s.started, EndedAt: s.endedAt, Queue: s.job.Queue, Team: s.job.Team,
-		}
-		for _, i := range slices.Sorted(maps.Keys(s.leftover)) {
-			step := s.leftover[i]
-			stored.Kept = append(stored.Kept, keptRecord{i, step.Count, step.Need, step.Filler})
-		}
-		return json.Marshal(stored)
-	}
-	stored := stateRecord{Started: s.started}
-	for stage, done := range s.done {
-		stored.Done = append(stored.Done, stageRecord{stage.Occurrence, stage.Step, done.words})
-	}
-	for t, runs := range s.failedRuns {
-		stored.Failed = append(stored.Failed, failureRecord{t.Occurrence, t.Step, t.Index, runs})
-	}
-	for t, c := range s.crashes {
-		stored.Crashed = append(stored.Crashed, crashRecord{t.Occurrence, t.Step, t.Index, c.Count, c.Suspect, c.Total, c.Sure})
-	}
-	return json.Marshal(stored)
-}
-
-// Load replaces the state with a stored one. If the job has ended, it also sets the
-// queue and the team of the job. If it returns an error, the state is unchanged.
-func (s *State) Load(data []byte) error {
-	var stored stateRecord
-	if err := json.Unmarshal(data, &stored); err != nil {
-		return &Invalid{"state", err.Error()}
-	}
-	loaded := NewState(s.job)
-	for _, record := range stored.Done {
-		if record.Step < 0 || record.Step >= len(s.job.Steps) {
-			return &Invalid{"state", "record of a step that the job does not have"}
-		}
-		loaded.loadStage(record)
-	}
-	for _, failure := range stored.Failed {
-		loaded.failedRuns[Task{s.job.ID, failure.Occurrence, failure.Step, failure.Index}] = failure.Runs
-	}
-	for _, c := range stored.Crashed {
-		loaded.SetCrashes(Task{s.job.ID, c.Occurrence, c.Step, c.Index}, Crashes{c.Count, c.Suspect, c.Total, c.Sure})
-	}
-	loaded.finalPhase, loaded.started, loaded.endedAt = stored.FinalPhase, stored.Started || loaded.started, stored.EndedAt
-	for i, kept := range stored.Kept {
-		if i == 0 {
-			loaded.leftover = make(map[int]Step)
-		}
-		loaded.leftover[kept.Step] = Step{Count: kept.Count, Need: kept.Need, Filler: kept.Filler}
-	}
-	*s = *loaded
-	if stored.Queue != "" {
-		s.job.Queue, s.job.Team = stored.Queue, stored.Team
-	}
-	return nil
-}
-
-// loadStage marks the tasks of a stored stage as done.
-func (s *State) loadStage(record stageRecord) {
-	for i, word := range record.Indexes {
-		for word != 0 {
-			index := i*64 + bits.TrailingZeros64(word)
-			word &= word - 1
-			s.MarkDone(Task{s.job.ID, record.Occurrence, record.Step, index})
-		}
-	}
-}
--- a/schedule/core.go
+++ b/schedule/core.go
@@ -587,11 +587,20 @@
 // [occurrenceLeadTime]. A job without set times has one occurrence, which is always
 // opened.
 func (c *Core) openDueStages(tj *trackedJob, now time.Time) {
+	open, mostOpen := 0, c.maxOpenOccurrences(tj)
 	for occurrence := range tj.Occurrences() {
 		due := tj.Due(occurrence)
 		if tj.ScheduledOccurrences > 0 && due.After(now.Add(occurrenceLeadTime)) {
 			return
 		}
+		if tj.state.OccurrenceDone(occurrence) {
+			continue
+		}
+		if tj.batchTasksLeft(occurrence) {
+			if open++; open > mostOpen {
+				return
+			}
+		}
 		for i := range tj.Steps {
 			c.openStage(tj, job.Stage{Job: tj.ID, Occurrence: occurrence, Step: i}, due)
 		}
