Bound the bytes of a commit, so that it gets through a slow link

A commit took up to 30 records of any length: 30 jobs of 254 KB are 10 MB on the wire. On a link of 10 Mbit/s that takes 8 s, an attempt has 1.3 s, and it was tried again for ever: no cancel was acknowledged and no job accepted meanwhile, and each attempt encoded all of it again. Through another entry it would also exceed what a call carries (4 MB).

The states of a commit, its parts of the fleet and the texts of its jobs now have 256 KB each, or one record if that is longer; the next commit follows without a pause. The time of an attempt grows by 1 s for each megabyte.

TestLongJobsOverSlowLink (12 jobs of 240 KB) fails on: a cancel beside them is not acknowledged in 4 s. TestBatchOfLongStates fails without the bound (1,489,240 bytes in a batch, bound 614,400). Both pass now.

--- a/job/job.go
+++ b/job/job.go
@@ -190,13 +190,21 @@
 
 // MaxEncodedBytes returns a bound of the length of the job in JSON.
 func (j *Job) MaxEncodedBytes() int {
-	texts, numbers := len(j.ID)+len(j.Queue)+len(j.Team)+len(j.Spec), 0
+	numbers := 0
+	for i := range j.Steps {
+		numbers += len(j.Steps[i].After)
+	}
+	return maxEscapedByte*j.TextBytes() + maxEncodedNumber*numbers + maxEncodedStep*len(j.Steps) + maxEncodedJob
+}
+
+// TextBytes returns the length of all strings of the job.
+func (j *Job) TextBytes() int {
+	n := len(j.ID) + len(j.Queue) + len(j.Team) + len(j.Spec)
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		texts += len(s.Label) + len(s.PreferredRack) + len(s.Image)
-		numbers += len(s.After)
+		n += len(s.Label) + len(s.PreferredRack) + len(s.Image)
 	}
-	return maxEscapedByte*texts + maxEncodedNumber*numbers + maxEncodedStep*len(j.Steps) + maxEncodedJob
+	return n
 }
 
 // Task identifies one task of an occurrence of a job.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -48,8 +48,10 @@
 	maxBackoff     = 250 * time.Millisecond
 	// refusedTimeout is how long to retry a commit that the store keeps refusing.
 	refusedTimeout = 250 * time.Millisecond
-	// attemptTimeout bounds one attempt, including the lookup of its outcome.
-	attemptTimeout = 1300 * time.Millisecond
+	// attemptTimeout bounds one attempt, including the lookup of its outcome, and
+	// attemptTimePerMB is added to it for each megabyte of records.
+	attemptTimeout   = 1300 * time.Millisecond
+	attemptTimePerMB = time.Second
 )
 
 // Tail is the record that fences writes to the ledger.
@@ -285,7 +287,11 @@
 // error is final. A batch of an earlier epoch is not sent: another owner may have
 // written newer records since.
 func (l *Ledger) attemptCommit(ctx context.Context, epoch int64, puts []store.Put, b Batch) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	bytes := 0
+	for _, p := range puts {
+		bytes += len(p.Value)
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+time.Duration(bytes)*attemptTimePerMB/1e6)
 	defer cancel()
 	currentTail := l.currentTail()
 	if currentTail.Epoch != epoch {
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -20,8 +20,14 @@
 	recorded schedule.RecordBatch
 	// accepted holds the acceptances that the commit completes.
 	accepted []*acceptance
+	// long is set if the commit holds no further job because those in it are long.
+	long bool
 }
 
+// maxJobBytes bounds the texts of the jobs in a commit, so that it gets through a slow link in time.
+// Those of a single job may be longer.
+const maxJobBytes = 256 << 10
+
 // addJob adds the acceptance of a job.
 func (c *pendingCommit) addJob(a *acceptance) {
 	a.inCommit = true
--- a/owner/invalid_test.go
+++ b/owner/invalid_test.go
@@ -289,3 +289,54 @@
 		})
 	}
 }
+
+// slowLink is a store behind a link of 10 Mbit/s.
+type slowLink struct {
+	store.Store
+	mu sync.Mutex
+}
+
+func (s *slowLink) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	bytes := 0
+	for _, p := range t.Puts {
+		bytes += len(p.Value) * 4 / 3
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-time.After(time.Duration(bytes) * 8 * time.Second / 10e6):
+	case <-ctx.Done():
+		return 0, &store.Uncertain{Call: "commit", Cause: ctx.Err()}
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+// TestLongJobsOverSlowLink guards against a commit of many jobs, each of a legal size, that does not
+// get through the link of the owner in the time of an attempt, so that nothing is ever recorded.
+func TestLongJobsOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		const jobs = 12
+		k := standin.NewKeyValue()
+		f := newFixture(t, &slowLink{Store: k}, k, storeLimits, 4)
+		g.Expect(f.submit(plainJob("first", 1, time.Minute)).Outcome).To(gomega.Equal(owner.Done))
+		answers := make(chan owner.Answer, jobs)
+		for i := range jobs {
+			j := plainJob(fmt.Sprint("long-", i), 1, time.Second)
+			j.Steps[0].Image = strings.Repeat("x", 240_000)
+			go func() { answers <- f.submit(j) }()
+		}
+		time.Sleep(100 * time.Millisecond)
+		g.Expect(f.cancel("first").Outcome).To(gomega.Equal(owner.Done))
+		accepted := 0
+		for range jobs {
+			if (<-answers).Outcome == owner.Done {
+				accepted++
+			}
+		}
+		g.Expect(accepted).To(gomega.BeNumerically(">", jobs/2))
+		time.Sleep(3 * time.Second)
+		g.Expect(f.submit(plainJob("last", 1, time.Second)).Outcome).To(gomega.Equal(owner.Done))
+		synctest.Wait()
+	})
+}
--- a/owner/record.go
+++ b/owner/record.go
@@ -265,8 +265,8 @@
 }
 
 // commitOnce writes the changed records. It reports whether the commit was full, not
-// counting the key reserved for the fleet and one that may be too few for a record, or parts of
-// a commit wait; the next one should then follow without a pause.
+// counting the key reserved for the fleet and one that may be too few for a record, or long, or
+// parts of a commit wait; the next one should then follow without a pause.
 func (o *Owner) commitOnce() bool {
 	o.mu.Lock()
 	if !o.active {
@@ -296,7 +296,7 @@
 	}
 	o.commitStartedAt = time.Time{}
 	o.finishCommit(commit, err)
-	return len(o.divided) > 0 || err == nil && commit.batch.Size() >= ledger.MaxBatchSize-2
+	return len(o.divided) > 0 || err == nil && (commit.batch.Size() >= ledger.MaxBatchSize-2 || commit.long)
 }
 
 // prepareCommit collects the changes that fit into one commit. One key is reserved for the
@@ -327,17 +327,20 @@
 // The caller holds o.mu.
 func (o *Owner) takeJobs(commit *pendingCommit, limit int) {
 	var left []*acceptance
-	now := time.Now()
+	now, bytes := time.Now(), 0
 	for _, a := range o.commitQueue {
 		if retry, deferred := o.core.SettingsDeferred(a.job.Queue, a.job.Team, now); deferred {
 			o.respond(a, Answer{Outcome: Refused, Retry: retry, Reason: "queue or team not recorded"})
 			continue
 		}
-		if len(commit.accepted) == limit || !o.core.SettingsRecorded(commit.recorded, a.job) {
+		size := a.job.TextBytes()
+		commit.long = commit.long || bytes > 0 && bytes+size > maxJobBytes
+		if len(commit.accepted) == limit || commit.long || !o.core.SettingsRecorded(commit.recorded, a.job) {
 			left = append(left, a)
 			continue
 		}
 		commit.addJob(a)
+		bytes += size
 	}
 	o.commitQueue = left
 }
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -150,12 +150,17 @@
 	})
 	numbers = slices.DeleteFunc(numbers, func(n int) bool { return c.defers(partName(n)) })
 	numbers = numbers[:max(min(limit, len(numbers)), 0)]
-	out := c.parts(numbers, now)
-	for i := range out {
-		if err := c.encodePart(&out[i]); err != nil {
+	var out []FleetPart
+	bytes := 0
+	for _, part := range c.parts(numbers, now) {
+		if err := c.encodePart(&part); err != nil {
 			return out, err
 		}
-		delete(c.changedParts, out[i].Number)
+		if bytes += len(part.encoded); bytes > maxBatchBytes && len(out) > 0 {
+			break
+		}
+		delete(c.changedParts, part.Number)
+		out = append(out, part)
 	}
 	return out, nil
 }
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -73,6 +73,8 @@
 	ignoreSpeeds bool
 	// maxRecordBytes is that of the configuration of the owners that follow.
 	maxRecordBytes int
+	// longestBatch is the greatest length of the states in a batch, in bytes.
+	longestBatch int
 	// slowness is how many times as long batch tasks run on a VM, if not once.
 	slowness map[string]float64
 	// gone holds the VMs that have crashed for good. They are not listed any more.
@@ -300,9 +302,12 @@
 			h.core.CommitFailed(r)
 			return
 		}
+		bytes := 0
 		for _, s := range r.States {
 			h.records[s.Job] = s.Data
+			bytes += len(s.Data)
 		}
+		h.longestBatch = max(h.longestBatch, bytes)
 		h.recordFleet(r)
 		h.core.Committed(r)
 		if !h.core.Unrecorded() {
--- a/schedule/oversize_test.go
+++ b/schedule/oversize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,3 +92,33 @@
 	g.Expect(phase(h, "1")).To(gomega.Equal(job.Completed))
 	g.Expect(known("vm-0")).To(gomega.BeTrue(), "the pool till was configured")
 }
+
+// TestBatchOfLongStates guards against batches whose length grows with the number of jobs instead
+// of having a bound, and against long records that are never taken.
+func TestBatchOfLongStates(t *testing.T) {
+	const jobs, bound = 10, 600 << 10
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 4)
+	h.run(time.Second)
+	for i := range jobs {
+		j := batch(job.ID(fmt.Sprint(i)), job.MaxTasks/2)
+		j.Steps[0].Need.CPU, j.Steps[0].MaxPerVM = 500, 1
+		j.Accepted, j.Epoch = h.now, h.epoch
+		s := job.NewState(j)
+		for index := range j.Steps[0].Count {
+			s.RecordFailure(job.Task{Job: j.ID, Index: index}, 1_000_000)
+		}
+		h.jobs[j.ID] = j
+		h.core.Add(j, s, h.now)
+	}
+	h.run(3 * time.Second)
+	g.Expect(h.longestBatch).To(gomega.And(gomega.BeNumerically(">", bound/4), gomega.BeNumerically("<", bound)))
+	recorded := 0
+	for _, data := range h.records {
+		if len(data) > 0 {
+			recorded++
+		}
+	}
+	g.Expect(recorded).To(gomega.BeNumerically(">", 1))
+	g.Expect(h.core.Unrecorded()).To(gomega.BeFalse())
+}
--- a/schedule/record.go
+++ b/schedule/record.go
@@ -72,8 +72,13 @@
 // Final reports whether the job has ended.
 func (r StateRecord) Final() bool { return r.phase.Final() }
 
+// maxBatchBytes bounds the states of a batch, and likewise its parts of the fleet, so that a commit
+// gets through a slow link in time. A single record may be longer.
+const maxBatchBytes = 256 << 10
+
 // TakeRecords returns a batch of changes, which take up at most the given numbers of keys in
-// the store: states, see [Core.statesToTake], and parts of the fleet.
+// the store: states, see [Core.statesToTake], and parts of the fleet. It may hold fewer if these
+// are long.
 // The batch also holds the rest of the record of the fleet, which does not count towards
 // the limits, if that has changed and may be recorded.
 func (c *Core) TakeRecords(stateLimit, partLimit int, now time.Time) (RecordBatch, error) {
@@ -102,11 +107,15 @@
 // takeStates returns the changed states that a batch holds.
 func (c *Core) takeStates(limit int) ([]StateRecord, error) {
 	var out []StateRecord
+	bytes := 0
 	for _, tj := range c.statesToTake(limit) {
 		data, err := record.Encode(tj.state)
 		if err != nil {
 			return out, err
 		}
+		if bytes += len(data); bytes > maxBatchBytes && len(out) > 0 {
+			break
+		}
 		out = append(out, StateRecord{tj.ID, data, tj.version, tj.state.Phase()})
 		delete(c.dirty, tj.ID)
 	}
