Divide the record of begun maintenance among the parts of the fleet

The record of the fleet listed each machine whose maintenance has begun, of every wave that operators have not removed. It grew by some 46 KB with each wave over 2,300 machines until the store would not take it; an owner after that would have sent machines to maintenance again.

Each of the 32 parts now lists the machines whose names fall into it, and the rest of the record has a fixed bound: flags, orders of the last 3 s, at most 64 queues and VMs of what was learned. The list of an earlier version is read and replaced; an earlier version can't read the record any more, instead of missing the machines.

TestBegunMaintenanceIsDivided fails before (82,995 of 20,000 bytes) and passes now. TestFleetRecord now has the machines in two parts, also checks that an earlier version fails on the list, and reads one of an earlier version.

--- a/owner/fleet.go
+++ b/owner/fleet.go
@@ -16,15 +16,21 @@
 	// VMs holds the list of an earlier version. This version stores an empty object, which
 	// earlier ones can't read: they would miss the VMs, and must not own the jobs.
 	VMs json.RawMessage `json:"vms"`
+	// Begun holds the machines whose maintenance has begun, by wave, in a record of an earlier
+	// version. This version stores an empty list, which earlier ones can't read.
+	Begun json.RawMessage `json:"begun"`
 }
 
-// noVMs is fleetRecord.VMs as this version stores it.
-const noVMs = `{}`
+// noVMs and noneBegun are the members of a fleetRecord as this version stores them.
+const (
+	noVMs     = `{}`
+	noneBegun = `[]`
+)
 
 // encodeFleet returns the records of the fleet in a batch, in their stored form.
 func encodeFleet(r schedule.RecordBatch) (fleet []byte, parts map[int][]byte, err error) {
 	if r.Fleet != nil {
-		fleet, err = record.Encode(fleetRecord{Fleet: *r.Fleet, VMs: json.RawMessage(noVMs)})
+		fleet, err = record.Encode(fleetRecord{Fleet: *r.Fleet, VMs: json.RawMessage(noVMs), Begun: json.RawMessage(noneBegun)})
 	}
 	parts = make(map[int][]byte, len(r.Parts))
 	for _, part := range r.Parts {
@@ -35,6 +41,17 @@
 	return fleet, parts, err
 }
 
+// addBegun adds the machines whose maintenance has begun according to a part. A record of an earlier
+// version may list some of them, too.
+func addBegun(f *schedule.Fleet, begun map[int64][]string) {
+	for wave, machines := range begun {
+		if f.Begun == nil {
+			f.Begun = make(map[int64][]string)
+		}
+		f.Begun[wave] = append(f.Begun[wave], machines...)
+	}
+}
+
 // decodeFleet returns the fleet in a snapshot. The error is [*store.Invalid].
 func decodeFleet(s ledger.Snapshot) (schedule.Fleet, error) {
 	var stored fleetRecord
@@ -44,6 +61,11 @@
 		}
 	}
 	out := stored.Fleet
+	if len(stored.Begun) > 0 && string(stored.Begun) != noneBegun {
+		if err := json.Unmarshal(stored.Begun, &out.Begun); err != nil {
+			return schedule.Fleet{}, &store.Invalid{Call: "fleet", Cause: err}
+		}
+	}
 	recorded := make(map[string]bool)
 	for _, data := range s.FleetParts {
 		var part schedule.FleetPart
@@ -57,6 +79,7 @@
 		out.Retired = append(out.Retired, part.Retired...)
 		out.Queues = append(out.Queues, part.Queues...)
 		out.Teams = append(out.Teams, part.Teams...)
+		addBegun(&out, part.Begun)
 	}
 	if len(stored.VMs) == 0 || string(stored.VMs) == noVMs {
 		return out, nil
--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -22,10 +22,10 @@
 	g := gomega.NewWithT(t)
 	retired := []schedule.RetiredVM{{ID: "r", Born: time.Unix(1_700_000_000, 0).UTC(), Left: time.Second}}
 	fleet, parts, err := encodeFleet(schedule.RecordBatch{
-		Fleet: &schedule.Fleet{Begun: map[int64][]string{1: {"m"}}, HandedOver: true, Ordered: []string{"n"}},
+		Fleet: &schedule.Fleet{HandedOver: true, Ordered: []string{"n"}},
 		Parts: []schedule.FleetPart{
-			{Number: 3, VMs: []schedule.Place{placeOf("a", "new")}},
-			{Number: 5, VMs: []schedule.Place{placeOf("b", "new")}, Retired: retired},
+			{Number: 3, VMs: []schedule.Place{placeOf("a", "new")}, Begun: map[int64][]string{1: {"m"}, 2: {"m"}}},
+			{Number: 5, VMs: []schedule.Place{placeOf("b", "new")}, Retired: retired, Begun: map[int64][]string{1: {"o"}}},
 		},
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -33,11 +33,15 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got).To(gomega.Equal(schedule.Fleet{
 		VMs:   []schedule.Place{placeOf("a", "new"), placeOf("b", "new")},
-		Begun: map[int64][]string{1: {"m"}}, HandedOver: true, Ordered: []string{"n"}, Retired: retired,
+		Begun: map[int64][]string{1: {"m", "o"}, 2: {"m"}}, HandedOver: true, Ordered: []string{"n"}, Retired: retired,
 	}))
 
 	var asEarlier schedule.Fleet
 	g.Expect(json.Unmarshal(fleet, &asEarlier)).NotTo(gomega.Succeed())
+	var begunAsEarlier struct {
+		Begun map[int64][]string `json:"begun"`
+	}
+	g.Expect(json.Unmarshal(fleet, &begunAsEarlier)).NotTo(gomega.Succeed())
 
 	earlier, err := json.Marshal(schedule.Fleet{VMs: []schedule.Place{placeOf("b", "old"), placeOf("c", "old")}})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -45,6 +49,10 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got.VMs).To(gomega.Equal([]schedule.Place{placeOf("a", "new"), placeOf("b", "new"), placeOf("c", "old")}))
 
+	got, err = decodeFleet(ledger.Snapshot{Fleet: []byte(`{"vms":{},"begun":{"1":["p"]}}`), FleetParts: [][]byte{parts[3]}})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(got.Begun).To(gomega.Equal(map[int64][]string{1: {"p", "m"}, 2: {"m"}}))
+
 	got, err = decodeFleet(ledger.Snapshot{})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(got.VMs).To(gomega.BeEmpty())
--- a/schedule/fleet.go
+++ b/schedule/fleet.go
@@ -17,7 +17,7 @@
 	// VMs lists the VMs that may run tasks.
 	VMs []Place `json:"vms"`
 	// Begun lists, by wave, the machines whose maintenance has begun.
-	Begun map[int64][]string `json:"begun,omitempty"`
+	Begun map[int64][]string `json:"-"`
 	// HandedOver is set if the owner has left and gives no more orders. Ordered then lists
 	// the machines that it has given orders for within [Config.MachineOrderGap].
 	HandedOver bool     `json:"left,omitempty"`
@@ -64,14 +64,17 @@
 	Left time.Duration `json:"left,omitempty"`
 }
 
-// FleetPart is a part of the record of the VMs, the queues and the teams. The part of each
-// follows from its id or name, so that a change of one rewrites few others.
+// FleetPart is a part of the record of the VMs, the queues, the teams and the machines whose
+// maintenance has begun. The part of each follows from its id or name, so that a change of one
+// rewrites few others.
 type FleetPart struct {
 	Number  int           `json:"number"`
 	VMs     []Place       `json:"vms"`
 	Retired []RetiredVM   `json:"retired,omitempty"`
 	Queues  []QueueRecord `json:"queues,omitempty"`
 	Teams   []TeamRecord  `json:"teams,omitempty"`
+	// Begun is that part of [Fleet.Begun].
+	Begun map[int64][]string `json:"begun,omitempty"`
 	// encoded is the stored form once it is known.
 	encoded []byte
 }
@@ -95,9 +98,9 @@
 	return int(h.Sum32() % FleetParts)
 }
 
-// placeChanged marks the record of a VM as out of date.
-func (c *Core) placeChanged(vm string) {
-	n := partOf(vm)
+// placeChanged marks the part that holds a VM or a machine as out of date.
+func (c *Core) placeChanged(name string) {
+	n := partOf(name)
 	if _, marked := c.changedParts[n]; !marked {
 		c.lastChange++
 		c.changedParts[n] = c.lastChange
@@ -183,6 +186,11 @@
 	}
 	c.takeQueues(out, index)
 	c.takeTeams(out, index)
+	for n, w := range c.waves {
+		for i := range out {
+			out[i].addBegun(n, w.begunByPart[out[i].Number])
+		}
+	}
 	for id, r := range c.retired {
 		left := retiredGracePeriod - now.Sub(r.at)
 		if i, ok := index[partOf(id)]; ok && left > 0 {
@@ -241,18 +249,23 @@
 	return out
 }
 
-// fleetWithoutVMs returns the record of the fleet without its VMs.
+// addBegun adds the machines whose maintenance has begun in a wave.
+func (p *FleetPart) addBegun(wave int64, machines []string) {
+	if len(machines) == 0 {
+		return
+	}
+	if p.Begun == nil {
+		p.Begun = make(map[int64][]string)
+	}
+	p.Begun[wave] = slices.Clone(machines)
+}
+
+// fleetWithoutVMs returns the record of the fleet without its parts.
 func (c *Core) fleetWithoutVMs() *Fleet {
-	out := &Fleet{Begun: make(map[int64][]string), HandedOver: c.handingOver}
+	out := &Fleet{HandedOver: c.handingOver}
 	if c.handingOver {
 		out.Ordered = slices.Sorted(maps.Keys(c.machineOrders))
 	}
-	for n, w := range c.waves {
-		for m := range w.maintenanceBegun {
-			out.Begun[n] = append(out.Begun[n], m)
-		}
-		slices.Sort(out.Begun[n])
-	}
 	return out
 }
 
--- a/schedule/gate.go
+++ b/schedule/gate.go
@@ -30,7 +30,8 @@
 	for n, machines := range f.Begun {
 		if w := c.waves[n]; w != nil {
 			for _, m := range machines {
-				w.maintenanceBegun[m] = true
+				w.addBegun(m)
+				c.placeChanged(m)
 			}
 		}
 	}
--- a/schedule/harness_test.go
+++ b/schedule/harness_test.go
@@ -148,7 +148,11 @@
 	})
 	h.core.SetView(h.view, h.now)
 	fleet := h.recordedFleet
+	fleet.Begun = make(map[int64][]string)
 	for n := range schedule.FleetParts {
+		for wave, machines := range h.recordedParts[n].Begun {
+			fleet.Begun[wave] = append(fleet.Begun[wave], machines...)
+		}
 		fleet.VMs = append(fleet.VMs, h.recordedParts[n].VMs...)
 		fleet.Retired = append(fleet.Retired, h.recordedParts[n].Retired...)
 		fleet.Queues = append(fleet.Queues, h.recordedParts[n].Queues...)
--- a/schedule/oversize_test.go
+++ b/schedule/oversize_test.go
@@ -122,3 +122,42 @@
 	g.Expect(recorded).To(gomega.BeNumerically(">", 1))
 	g.Expect(h.core.Unrecorded()).To(gomega.BeFalse())
 }
+
+// TestBegunMaintenanceIsDivided guards against a record of the fleet that grows with all waves until
+// the store does not take it, and against machines that a next owner sends to maintenance again.
+func TestBegunMaintenanceIsDivided(t *testing.T) {
+	const machines, waves, limit = 600, 10, 20_000
+	g := gomega.NewWithT(t)
+	h := newHarness(t, 1)
+	h.maxRecordBytes = limit
+	fleet := schedule.Fleet{Begun: make(map[int64][]string), VMs: []schedule.Place{{VM: h.vms["vm-0"].VM}}}
+	for n := range int64(waves) {
+		w := schedule.Wave{Number: n, TimeLimit: time.Hour, Cap: 1}
+		for i := range machines {
+			w.Machines = append(w.Machines, fmt.Sprintf("machine-%d", i))
+		}
+		h.view.Waves = append(h.view.Waves, w)
+		fleet.Begun[n] = w.Machines
+	}
+	h.changeOwner()
+	h.core.RestoreFleet(fleet, h.now, time.Second)
+	h.run(2 * time.Second)
+	data, err := json.Marshal(h.recordedFleet)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(data)).To(gomega.BeNumerically("<", limit))
+	for _, part := range h.recordedParts {
+		data, err := part.Encode()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(len(data)).To(gomega.BeNumerically("<", limit))
+	}
+	for i := range machines {
+		h.machines = append(h.machines, schedule.Machine{Name: fmt.Sprintf("machine-%d", i), Pool: "till", State: schedule.Up})
+	}
+	h.changeOwner()
+	h.core.SetMachines(h.machines, h.now)
+	h.run(2 * time.Second)
+	for _, s := range h.core.WaveStates() {
+		g.Expect(s.Complete).To(gomega.BeTrue(), "wave %d", s.Number)
+	}
+	g.Expect(h.maintained).To(gomega.BeEmpty())
+}
--- a/schedule/wave.go
+++ b/schedule/wave.go
@@ -30,6 +30,19 @@
 	// inProgress those that this owner is draining or has under maintenance.
 	maintenanceBegun map[string]bool
 	inProgress       map[string]*machineMaintenance
+	// begunByPart lists the machines in maintenanceBegun by the part of the record of the fleet
+	// that holds them.
+	begunByPart [FleetParts][]string
+}
+
+// addBegun notes that the maintenance of a machine has begun.
+func (w *wave) addBegun(machine string) {
+	if w.maintenanceBegun[machine] {
+		return
+	}
+	w.maintenanceBegun[machine] = true
+	n := partOf(machine)
+	w.begunByPart[n] = append(w.begunByPart[n], machine)
 }
 
 // machineMaintenance is the maintenance of one machine, from the drain of its VM
@@ -50,7 +63,8 @@
 		}
 		added := &wave{Wave: w, firstSeen: now, maintenanceBegun: make(map[string]bool), inProgress: make(map[string]*machineMaintenance)}
 		for _, m := range c.restoredBegun[w.Number] {
-			added.maintenanceBegun[m] = true
+			added.addBegun(m)
+			c.placeChanged(m)
 		}
 		c.waves[w.Number] = added
 		c.config.Log.Info("maintenance wave added", "wave", w.Number, "machines", len(w.Machines), "within", w.TimeLimit, "cap", w.Cap)
@@ -334,7 +348,7 @@
 // maintenanceBegan records that the platform has carried out an order for maintenance.
 func (c *Core) maintenanceBegan(w *wave, mm *machineMaintenance, machine string, now time.Time) {
 	mm.orderedAt = now
-	w.maintenanceBegun[machine] = true
-	c.fleetChanged = true
+	w.addBegun(machine)
+	c.placeChanged(machine)
 	c.retireVM(mm.vm, now)
 }
