Give long commits and messages between entries the time and room that they need

A commit of records that the store takes could never be made on a slow link: the relay of an entry gave each commit 600 ms whatever its length, which 0.56 MB of records exceed at 10 Mbit/s, and the ledger tried it again for ever. Through another entry, replies above 4 MB were refused, so that a watch failed again and again once several long records had changed at once, and operators' records of that size could not be fetched.

The limit of a commit grows by 1 s for each megabyte, twice that through another entry; that of a watch counts from the last part of the response, as for pages; and entries accept messages of 16 MB as calls, replies and streams alike.

The host of these tests now has the options of an entry.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -169,7 +169,7 @@
 	if after == 0 {
 		return m.list()
 	}
-	ctx, cancel := context.WithTimeout(m.ctx, m.config.Wait+callTimeout)
+	ctx, cancel := store.WithStallTimeout(m.ctx, m.config.Wait+callTimeout)
 	defer cancel()
 	start, sent := time.Now(), m.config.Clock()
 	events, next, err := m.config.Store.Watch(ctx, m.config.Prefix, after, m.config.Wait)
--- a/peer/carry.go
+++ b/peer/carry.go
@@ -14,20 +14,20 @@
 	"almondcove/schedule"
 )
 
-// maxCarryMessage is the size of a message that the streams of carriers accept, in bytes. It
-// is above that of any job and far above that of a batch.
-const maxCarryMessage = 16 << 20
+// maxMessage is the size of a message that entries accept from each other, in bytes. It is above
+// that of any job, of a commit and of a page of the store, and far above that of a batch of calls.
+const maxMessage = 16 << 20
 
 // ServerOptions returns the options for the gRPC server of [RegisterJobs].
 func ServerOptions() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxCarryMessage)}
+	return []grpc.ServerOption{grpc.MaxRecvMsgSize(maxMessage)}
 }
 
 // Carry opens a stream to the entry at an address, which carries calls to VMs. The stream
 // ends with ctx.
 func (l *JobLinks) Carry(ctx context.Context, to netip.AddrPort) (carrier.Stream, error) {
 	stream, err := call(l, to, func(c wire.JobsClient, _ struct{}) (grpc.BidiStreamingClient[wire.CarryRequest, wire.CarryReply], error) {
-		return c.Carry(ctx, grpc.MaxCallRecvMsgSize(maxCarryMessage))
+		return c.Carry(ctx)
 	}, struct{}{})
 	if err != nil {
 		return nil, err
--- a/peer/jobs.go
+++ b/peer/jobs.go
@@ -154,7 +154,8 @@
 	}
 	dial := func(ctx context.Context, address string) (net.Conn, error) { return l.dial(ctx, "tcp", address) }
 	conn, err := connect(to, dial, maxLinkBackoff, linkDialTimeout,
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveIdle, Timeout: keepaliveTimeout}))
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveIdle, Timeout: keepaliveTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
 	if err != nil {
 		return nil, &JobCallError{Peer: to, Cause: err}
 	}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -156,26 +156,43 @@
 // On the direct way it counts from the last part of the response that has arrived.
 const pageTimeout = 2 * time.Second
 
-// callDirect makes a call to the store without a relay.
+// timePerMB is added to the time limit of a call for each megabyte that it sends.
+const timePerMB = time.Second
+
+// sendTime returns the time to add to the time limit of a call for what it sends.
+func (m relayMessage) sendTime() time.Duration {
+	if m.Txn == nil {
+		return 0
+	}
+	bytes := 0
+	for _, p := range m.Txn.Puts {
+		bytes += len(p.Value)
+	}
+	return time.Duration(bytes) * timePerMB / 1e6
+}
+
+// callDirect makes a call to the store without a relay. The time limit of one that reads counts
+// from the last part of the response that has arrived.
 func (r *Relay) callDirect(ctx context.Context, name string, req relayMessage) (relayMessage, error) {
+	var cancel context.CancelFunc
 	switch name {
 	case callPage:
-		ctx, cancel := store.WithStallTimeout(ctx, pageTimeout)
-		defer cancel()
-		return invoke(ctx, r.config.Direct, name, req)
+		ctx, cancel = store.WithStallTimeout(ctx, pageTimeout)
+	case callWatch:
+		ctx, cancel = store.WithStallTimeout(ctx, directTimeout+req.Wait)
+	default:
+		ctx, cancel = context.WithTimeout(ctx, directTimeout+req.sendTime())
 	}
-	ctx, cancel := context.WithTimeout(ctx, directTimeout+req.Wait)
 	defer cancel()
 	return invoke(ctx, r.config.Direct, name, req)
 }
 
-// relayedTimeout returns the time limit of one attempt at a call through another entry,
-// without the wait of a watch.
-func relayedTimeout(name string) time.Duration {
+// relayedTimeout returns the time limit of one attempt at a call through another entry.
+func relayedTimeout(name string, req relayMessage) time.Duration {
 	if name == callPage {
 		return pageTimeout
 	}
-	return directTimeout
+	return directTimeout + req.Wait + 2*req.sendTime()
 }
 
 // remoteError is an error of a relayed call, of which only the text is known.
@@ -251,7 +268,7 @@
 }
 
 func (r *Relay) callVia(ctx context.Context, to netip.AddrPort, name string, req relayMessage) (relayMessage, error) {
-	ctx, cancel := context.WithTimeout(ctx, relayedTimeout(name)+req.Wait)
+	ctx, cancel := context.WithTimeout(ctx, relayedTimeout(name, req))
 	defer cancel()
 	body, err := json.Marshal(req)
 	if err != nil {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -29,6 +29,10 @@
 	return store.Item{Key: key}, &store.Unavailable{Call: "get", Cause: net.ErrClosed}
 }
 
+func (unreachableStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) ([]store.Event, int64, error) {
+	return nil, after, &store.Unavailable{Call: "watch", Cause: net.ErrClosed}
+}
+
 // silentStore is a store that carries out commits and does not answer them.
 type silentStore struct {
 	store.Store
@@ -67,7 +71,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(peer.ServerOptions()...)
 	peer.RegisterJobs(server, relayHost{store: s})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
@@ -177,3 +181,57 @@
 	}
 	g.Expect(failed).To(gomega.BeNumerically("<=", 2), "one call through each of the entries that are cut off")
 }
+
+// slowLink is a store behind a link of 10 Mbit/s.
+type slowLink struct {
+	store.Store
+}
+
+func (s slowLink) Commit(ctx context.Context, t store.Txn) (int64, error) {
+	bytes := 0
+	for _, p := range t.Puts {
+		bytes += len(p.Value) * 4 / 3
+	}
+	select {
+	case <-time.After(time.Duration(bytes) * 8 * time.Second / 10e6):
+		return s.Store.Commit(ctx, t)
+	case <-ctx.Done():
+		return 0, &store.Uncertain{Call: "commit", Cause: ctx.Err()}
+	}
+}
+
+// TestLongCommits guards against a commit of records that the store takes and that an entry never
+// makes, because its time limit is that of a short one or its message is longer than entries accept.
+func TestLongCommits(t *testing.T) {
+	txn := store.Txn{}
+	for i := range 3 {
+		txn.Puts = append(txn.Puts, store.Put{Key: string(rune('a' + i)), Value: make([]byte, 1<<20)})
+	}
+	for _, c := range []struct {
+		name  string
+		relay func(*testing.T, store.Store) *peer.Relay
+	}{
+		{"direct", func(t *testing.T, s store.Store) *peer.Relay { return relayThrough(t, slowLink{s}) }},
+		{"relayed", func(t *testing.T, s store.Store) *peer.Relay { return startRelay(t, slowLink{s}) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			k := standin.NewKeyValue()
+			_, err := c.relay(t, k).Commit(t.Context(), txn)
+			gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
+		})
+	}
+}
+
+// TestLongEventsThroughRelay guards against a watch through another entry that fails again and again
+// because several long records have changed at once.
+func TestLongEventsThroughRelay(t *testing.T) {
+	g := gomega.NewWithT(t)
+	k := standin.NewKeyValue()
+	for i := range 6 {
+		k.Write(string(rune('a'+i)), make([]byte, 1<<20))
+	}
+	events, _, err := startRelay(t, k).Watch(t.Context(), "", 1, time.Second)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(events).To(gomega.HaveLen(6))
+}
