Name the part of the fleet that is set aside, and read a state without closures

The log line of a record that the store does not take named a part of the fleet without its number. No behaviour changes; the tests of job and owner pass.

--- a/job/staterecord.go
+++ b/job/staterecord.go
@@ -201,14 +201,14 @@
 		return &Invalid{"state", err.Error()}
 	}
 	loaded := NewState(s.job)
-	for _, load := range []func() error{
-		func() error { return loaded.loadDone(stored.Done) },
-		func() error { return loaded.loadFailures(stored.Failed) },
-		func() error { return loaded.loadCrashes(stored.Crashed) },
-	} {
-		if err := load(); err != nil {
-			return err
-		}
+	if err := loaded.loadDone(stored.Done); err != nil {
+		return err
+	}
+	if err := loaded.loadFailures(stored.Failed); err != nil {
+		return err
+	}
+	if err := loaded.loadCrashes(stored.Crashed); err != nil {
+		return err
 	}
 	loaded.finalPhase, loaded.started, loaded.endedAt = stored.FinalPhase, stored.Started || loaded.started, stored.EndedAt
 	for i, kept := range stored.Kept {
--- a/owner/commit.go
+++ b/owner/commit.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"time"
 
 	"almondcove/job"
@@ -146,7 +147,7 @@
 	case len(c.recorded.Removed) > 0:
 		return "removed job " + string(c.recorded.Removed[0])
 	case len(c.recorded.Parts) > 0:
-		return "part of the fleet"
+		return fmt.Sprintf("part %d of the fleet", c.recorded.Parts[0].Number)
 	}
 	return "fleet"
 }
