Count the planned steps where lost answers must take effect once

No change was applied twice.

The test now asks that each change has a higher revision than the one before and that, after all of them, the revision is higher by exactly the changes and the planned steps that the entries have recorded in their timelines. A change that is applied twice raises it once more, and fails the test as before.

--- a/demo/fault_test.go
+++ b/demo/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -14,6 +15,7 @@
 	"almondcove/demo"
 	"almondcove/operator"
 	"almondcove/standin"
+	"almondcove/timeline"
 )
 
 // generateLoad sends one task per interval for the given duration, to all entries in
@@ -167,11 +169,13 @@
 
 // TestLostAnswersTakeEffectOnce guards against a change that is applied twice. While the
 // platform carries writes out without answering, an entry does not know whether its
-// write took effect and may write again. Each change must raise the revision by one.
+// write took effect and may write again. Each change must raise the revision by one, as do the
+// steps that entries plan themselves.
 func TestLostAnswersTakeEffectOnce(t *testing.T) {
 	runInMemory(t, func(g *gomega.WithT, d *demo.Demo, _ *standin.Network) {
 		d.Platform.Fault("lost", time.Minute)
-		rev := d.Nodes[0].Entry().EffectiveConfig().Head.Rev
+		first, planned := d.Nodes[0].Entry().EffectiveConfig().Head.Rev, plannedSteps(g, d)
+		last, changes := first, 0
 		for _, c := range []struct {
 			method, path string
 			in           any
@@ -186,14 +190,33 @@
 		} {
 			r, err := applyChange(d, 0, c.method, c.path, c.in)
 			g.Expect(err).NotTo(gomega.HaveOccurred(), c.path)
-			rev++
-			g.Expect(r.Rev).To(gomega.Equal(rev), c.path)
+			g.Expect(r.Rev).To(gomega.BeNumerically(">", last), c.path)
+			last = r.Rev
+			changes++
 			g.Expect(r.ChangeResult.Recorded).To(gomega.BeTrue(), c.path)
 			g.Expect(r.Force.Everywhere()).To(gomega.BeTrue(), c.path)
 		}
+		d.Platform.Clear()
+		time.Sleep(30 * time.Second)
+		raised := int(d.Nodes[0].Entry().EffectiveConfig().Head.Rev - first)
+		g.Expect(raised).To(gomega.Equal(changes + plannedSteps(g, d) - planned))
 	})
 }
 
+// plannedSteps returns how many steps that change the configuration the entries have planned and
+// recorded.
+func plannedSteps(g *gomega.WithT, d *demo.Demo) int {
+	events, missing := d.Nodes[0].Entry().Timeline(context.Background(), timeline.Filter{})
+	g.Expect(missing).To(gomega.BeEmpty())
+	n := 0
+	for _, e := range events {
+		if slices.Contains([]string{"vmfollow", "vmmove", "vmplace", "vmdrain", "vmreturn"}, e.Kind) {
+			n++
+		}
+	}
+	return n
+}
+
 // TestRewindRevertsNothing guards against a platform that loses its last writes and so
 // takes the entries back to an older configuration. The entries keep the newer one and
 // refuse changes until an operator has it restored on the platform.
